--- /dev/null
+++ b/cli/src/main/java/org/mustardstage/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command for operators and the build pipeline. */
+package org.mustardstage.cli;
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/drain/package-info.java
@@ -0,0 +1,2 @@
+/** What leaves and gets no new work. */
+package org.mustardstage.core.drain;
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/id/EndpointId.java
@@ -0,0 +1,19 @@
+package org.mustardstage.core.id;
+
+/** Identifies an endpoint of a service. */
+public record EndpointId(String value) implements Comparable<EndpointId> {
+  /** Checks the text of the identifier. */
+  public EndpointId {
+    Names.checkName("EndpointId", value);
+  }
+
+  @Override
+  public int compareTo(EndpointId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/id/ServiceName.java
@@ -0,0 +1,19 @@
+package org.mustardstage.core.id;
+
+/** Identifies a service. */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+  /** Checks the text of the identifier. */
+  public ServiceName {
+    Names.checkName("ServiceName", value);
+  }
+
+  @Override
+  public int compareTo(ServiceName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/id/VmId.java
@@ -0,0 +1,19 @@
+package org.mustardstage.core.id;
+
+/** Identifies an entry VM by name. */
+public record VmId(String value) implements Comparable<VmId> {
+  /** Checks the text of the identifier. */
+  public VmId {
+    Names.checkName("VmId", value);
+  }
+
+  @Override
+  public int compareTo(VmId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types that identify the things the system steers: VMs, zones, regions, services. */
+package org.mustardstage.core.id;
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/member/package-info.java
@@ -0,0 +1,2 @@
+/** Which VMs are believed alive. */
+package org.mustardstage.core.member;
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/overload/package-info.java
@@ -0,0 +1,2 @@
+/** Bounded queues, priorities and retry budgets. */
+package org.mustardstage.core.overload;
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/permit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits kept by permits that exist once and are lent for a time. */
+package org.mustardstage.core.permit;
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/route/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of a place and an endpoint for a request. */
+package org.mustardstage.core.route;
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/shift/package-info.java
@@ -0,0 +1,2 @@
+/** Planned moves of traffic that never exceed their cap. */
+package org.mustardstage.core.shift;
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The process that runs on every entry VM. */
+package org.mustardstage.entry;
--- /dev/null
+++ b/schema/src/main/java/org/mustardstage/schema/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of settings, manifests and messages against their schemas. */
+package org.mustardstage.schema;
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the platform and of endpoints, and the load tool, for tests and demos. */
+package org.mustardstage.standins;
