--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/member/DigestCounter.java
@@ -0,0 +1,32 @@
+package org.mustardstage.core.member;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import org.mustardstage.core.id.ZoneId;
+
+/**
+ * Tells which digest of a zone a VM holds.
+ *
+ * @param zone the zone
+ * @param counter the number of the digest; a larger one replaces a smaller one
+ * @param contentHash a hash of the content, which decides between digests with the same number
+ */
+public record DigestCounter(ZoneId zone, long counter, long contentHash) {
+  /** Returns whether this digest replaces {@code other}. */
+  public boolean isNewerThan(DigestCounter other) {
+    return counter != other.counter
+        ? counter > other.counter
+        : Long.compareUnsigned(contentHash, other.contentHash) > 0;
+  }
+
+  /** Returns a hash that is the same on every VM. */
+  long hash() {
+    return Hashing.murmur3_128()
+        .newHasher()
+        .putString(zone.value(), StandardCharsets.UTF_8)
+        .putLong(counter)
+        .putLong(contentHash)
+        .hash()
+        .asLong();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/member/Membership.java
@@ -0,0 +1,358 @@
+package org.mustardstage.core.member;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedSet;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.HostAndPort;
+
+/**
+ * Decides which VMs are believed alive. VMs of a zone send heartbeats to each other; the
+ * representative of each zone gathers them into a digest; representatives of zones and regions
+ * exchange heartbeats that carry a hash of all digests, and digests only where the hashes differ.
+ */
+public final class Membership {
+  private static final int POLLERS_PER_ZONE = 2;
+  private static final int SILENT_AFTER_REGION_PERIODS = 4;
+  private static final int SUMMARY_PERIODS = 2;
+
+  private final MembershipSettings settings;
+  private final ZonePeers peers;
+  private final World world = new World();
+  private final SilentZones silentZones;
+  private final HeartbeatSchedule schedule;
+  private final Map<VmId, Long> summarySentNanos = new HashMap<>();
+  private Member self;
+  private ConfigVersion version = ConfigVersion.NONE;
+  private List<Member> listed = ImmutableList.of();
+  private long digestMadeNanos;
+  private long viewMadeNanos;
+  private int viewHash;
+
+  /** Creates the state of {@code self}, which knows of no other VM yet. */
+  public Membership(MembershipSettings settings, Member self, long nowNanos) {
+    this.settings = settings;
+    this.self = self;
+    this.peers = new ZonePeers(settings, self);
+    this.silentZones =
+        new SilentZones(SILENT_AFTER_REGION_PERIODS * settings.regionHeartbeatNanos());
+    this.schedule = new HeartbeatSchedule(settings);
+    this.digestMadeNanos = nowNanos - settings.digestIntervalNanos();
+  }
+
+  /** Takes in the platform's list. */
+  public List<MemberAction> onVmList(long nowNanos, List<Member> list) {
+    listed = ImmutableList.copyOf(list);
+    peers.onVmList(nowNanos, list);
+    return changes(nowNanos);
+  }
+
+  /** Takes in a VM that introduced itself on a connection. */
+  public List<MemberAction> onHello(long nowNanos, Member member) {
+    peers.discover(nowNanos, member);
+    peers.find(member.incarnation()).ifPresent(peer -> peer.hear(nowNanos));
+    return changes(nowNanos);
+  }
+
+  /** Sets the version of the manifest in force here. */
+  public void onVersion(ConfigVersion inForce) {
+    version = inForce;
+  }
+
+  /** Marks this VM as leaving and tells the others at once. */
+  public List<MemberAction> leave(long nowNanos) {
+    self = self.asLeaving();
+    schedule.sendAllNow();
+    return onTick(nowNanos);
+  }
+
+  /** Takes in a message of {@code from}. */
+  public List<MemberAction> onMessage(long nowNanos, Member from, MemberMessage message) {
+    peers.discover(nowNanos, from);
+    silentZones.onHeard(nowNanos, from);
+    List<MemberAction> actions = new ArrayList<>();
+    switch (message) {
+      case MemberMessage.Heartbeat heartbeat -> onHeartbeat(nowNanos, from, heartbeat, actions);
+      case MemberMessage.DigestSummary summary -> onSummary(nowNanos, from, summary, actions);
+      case MemberMessage.Digests digests -> digests.digests().forEach(world::offer);
+    }
+    return actions;
+  }
+
+  private void onHeartbeat(
+      long nowNanos, Member from, MemberMessage.Heartbeat heartbeat, List<MemberAction> actions) {
+    peers
+        .find(from.incarnation())
+        .ifPresent(peer -> peer.hear(nowNanos, heartbeat.leaving(), heartbeat.version()));
+    if (representativeOf(nowNanos, self.zone()).filter(from::equals).isPresent()) {
+      silentZones.onReport(heartbeat.silentZones());
+    }
+    if (heartbeat.worldHash() != world.hash()) {
+      sendSummary(nowNanos, from, actions);
+    }
+  }
+
+  private void sendSummary(long nowNanos, Member to, List<MemberAction> actions) {
+    Long sentNanos = summarySentNanos.get(to.vm());
+    long minGapNanos = SUMMARY_PERIODS * peers.periodNanos();
+    if (sentNanos != null && nowNanos - sentNanos < minGapNanos) {
+      return;
+    }
+    summarySentNanos.put(to.vm(), nowNanos);
+    actions.add(new MemberAction.SendMessage(to, world.summary()));
+  }
+
+  private void onSummary(
+      long nowNanos, Member from, MemberMessage.DigestSummary summary, List<MemberAction> actions) {
+    List<ZoneDigest> newer = world.newerThan(summary.counters());
+    if (!newer.isEmpty()) {
+      actions.add(new MemberAction.SendMessage(from, new MemberMessage.Digests(newer)));
+    }
+    if (world.isOlderThan(summary.counters())) {
+      sendSummary(nowNanos, from, actions);
+    }
+  }
+
+  /** Lets time pass: heartbeats are sent and suspicions grow. */
+  public List<MemberAction> onTick(long nowNanos) {
+    List<MemberAction> actions = new ArrayList<>();
+    peers.forgetGone(nowNanos);
+    refreshOwnDigest(nowNanos);
+    List<Member> due = schedule.due(nowNanos, this::targets);
+    if (!due.isEmpty()) {
+      MemberMessage.Heartbeat heartbeat = heartbeat(nowNanos);
+      due.forEach(target -> actions.add(new MemberAction.SendMessage(target, heartbeat)));
+    }
+    if (nowNanos - viewMadeNanos >= settings.minHeartbeatNanos() / 2) {
+      actions.addAll(changes(nowNanos));
+    }
+    return actions;
+  }
+
+  private MemberMessage.Heartbeat heartbeat(long nowNanos) {
+    return new MemberMessage.Heartbeat(
+        self.leaving(), version, world.hash(), ImmutableList.copyOf(ownSilentZones(nowNanos)));
+  }
+
+  private HeartbeatSchedule.Targets targets(long nowNanos) {
+    List<Member> zonePeers = peers.all().stream().map(PeerRecord::member).toList();
+    List<Member> otherZones = ImmutableList.of();
+    List<Member> otherRegions = ImmutableList.of();
+    if (isZoneRepresentative(nowNanos)) {
+      otherZones = zoneTargets(nowNanos);
+    }
+    if (isRegionRepresentative(nowNanos)) {
+      otherRegions = regionTargets(nowNanos);
+    }
+    return new HeartbeatSchedule.Targets(zonePeers, otherZones, otherRegions);
+  }
+
+  private List<Member> zoneTargets(long nowNanos) {
+    List<Member> targets = new ArrayList<>();
+    for (ZoneId zone : zonesOf(self.region())) {
+      if (!zone.equals(self.zone())) {
+        contact(
+                nowNanos,
+                zone.value(),
+                candidatesOf(zone),
+                silentZones.isZoneSilent(nowNanos, zone))
+            .ifPresent(targets::add);
+      }
+    }
+    return targets;
+  }
+
+  private List<Member> regionTargets(long nowNanos) {
+    List<Member> targets = new ArrayList<>();
+    for (RegionId region : regions()) {
+      if (!region.equals(self.region())) {
+        boolean silent = silentZones.isRegionSilent(nowNanos, region);
+        contact(nowNanos, region.value(), candidatesOf(region), silent).ifPresent(targets::add);
+      }
+    }
+    return targets;
+  }
+
+  /** Returns whom to send to: the representative, or while it is silent each candidate in turn. */
+  private Optional<Member> contact(
+      long nowNanos, String group, List<Member> candidates, boolean silent) {
+    if (!silent || candidates.isEmpty()) {
+      return Representatives.choose(group, candidates);
+    }
+    long turn = nowNanos / settings.zoneHeartbeatNanos();
+    return Optional.of(candidates.get((int) Math.floorMod(turn, (long) candidates.size())));
+  }
+
+  private List<Member> candidatesOf(ZoneId zone) {
+    List<Member> fromDigest =
+        world.find(zone).stream()
+            .flatMap(digest -> digest.entries().stream())
+            .map(ZoneDigest.Entry::member)
+            .toList();
+    return fromDigest.isEmpty()
+        ? listed.stream().filter(member -> member.zone().equals(zone)).toList()
+        : fromDigest;
+  }
+
+  private List<Member> candidatesOf(RegionId region) {
+    return zonesOf(region).stream().flatMap(zone -> candidatesOf(zone).stream()).toList();
+  }
+
+  private ImmutableSortedSet<ZoneId> zonesOf(RegionId region) {
+    return knownElsewhere().stream()
+        .filter(member -> member.region().equals(region))
+        .map(Member::zone)
+        .collect(ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
+  }
+
+  private ImmutableSortedSet<RegionId> regions() {
+    return knownElsewhere().stream()
+        .map(Member::region)
+        .collect(ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
+  }
+
+  private List<Member> knownElsewhere() {
+    List<Member> known = new ArrayList<>(listed);
+    world.all().values().stream()
+        .flatMap(digest -> digest.entries().stream())
+        .forEach(entry -> known.add(entry.member()));
+    return known;
+  }
+
+  private List<Member> aliveInZone(long nowNanos) {
+    List<Member> alive = new ArrayList<>();
+    alive.add(self);
+    peers.statuses(nowNanos).stream()
+        .filter(MemberStatus::isAlive)
+        .forEach(status -> alive.add(status.member()));
+    return alive;
+  }
+
+  private Optional<Member> representativeOf(long nowNanos, ZoneId ownZone) {
+    return Representatives.choose(ownZone.value(), aliveInZone(nowNanos));
+  }
+
+  private boolean isZoneRepresentative(long nowNanos) {
+    return representativeOf(nowNanos, self.zone()).filter(self::equals).isPresent();
+  }
+
+  private boolean isRegionRepresentative(long nowNanos) {
+    List<Member> candidates = new ArrayList<>(aliveInZone(nowNanos));
+    for (ZoneId zone : zonesOf(self.region())) {
+      if (!zone.equals(self.zone()) && !silentZones.isZoneSilent(nowNanos, zone)) {
+        candidates.addAll(candidatesOf(zone));
+      }
+    }
+    return Representatives.choose(self.region().value(), candidates)
+        .filter(member -> member.vm().equals(self.vm()))
+        .isPresent();
+  }
+
+  /** Returns whether this VM reads the platform's rows on behalf of its zone. */
+  public boolean isPoller(long nowNanos) {
+    return Representatives.isAmongFirst(
+        POLLERS_PER_ZONE, "poll/" + self.zone(), self, aliveInZone(nowNanos));
+  }
+
+  /** Returns whether this VM should read the platform's list of VMs. */
+  public boolean needsVmList(long nowNanos) {
+    return listed.isEmpty() || isPoller(nowNanos) || peers.needsVmList(nowNanos);
+  }
+
+  /** Returns an action that greets {@code peerAddress}, for a VM that knows nobody. */
+  public static MemberAction greet(HostAndPort peerAddress) {
+    return new MemberAction.Greet(peerAddress);
+  }
+
+  private void refreshOwnDigest(long nowNanos) {
+    boolean due = nowNanos - digestMadeNanos >= settings.digestIntervalNanos();
+    if (!due || !isZoneRepresentative(nowNanos)) {
+      return;
+    }
+    List<ZoneDigest.Entry> entries = new ArrayList<>();
+    entries.add(new ZoneDigest.Entry(self, version));
+    peers.statuses(nowNanos).stream()
+        .filter(MemberStatus::isAlive)
+        .forEach(status -> entries.add(new ZoneDigest.Entry(status.member(), status.version())));
+    entries.sort(Comparator.comparing(entry -> entry.member().vm()));
+    Optional<ZoneDigest> held = world.find(self.zone());
+    if (held.filter(digest -> digest.entries().equals(entries)).isPresent()) {
+      return;
+    }
+    long counter = held.map(ZoneDigest::counter).orElse(0L) + 1;
+    world.offer(new ZoneDigest(self.zone(), counter, entries));
+    digestMadeNanos = nowNanos;
+  }
+
+  private ImmutableSet<ZoneId> ownSilentZones(long nowNanos) {
+    ImmutableSet.Builder<ZoneId> silent = ImmutableSet.builder();
+    boolean zoneRepresentative = isZoneRepresentative(nowNanos);
+    boolean regionRepresentative = zoneRepresentative && isRegionRepresentative(nowNanos);
+    for (ZoneDigest digest : world.all().values()) {
+      if (digest.zone().equals(self.zone()) || digest.entries().isEmpty()) {
+        continue;
+      }
+      RegionId region = digest.entries().getFirst().member().region();
+      if (isSilent(nowNanos, digest.zone(), region, zoneRepresentative, regionRepresentative)) {
+        silent.add(digest.zone());
+      }
+    }
+    return silent.build();
+  }
+
+  private boolean isSilent(
+      long nowNanos,
+      ZoneId zone,
+      RegionId region,
+      boolean zoneRepresentative,
+      boolean regionRepresentative) {
+    if (region.equals(self.region()) && zoneRepresentative) {
+      return silentZones.isZoneSilent(nowNanos, zone);
+    }
+    if (regionRepresentative) {
+      return silentZones.isRegionSilent(nowNanos, region);
+    }
+    return silentZones.reported().contains(zone);
+  }
+
+  /** Returns what this VM believes now. */
+  public MemberView view(long nowNanos) {
+    List<MemberStatus> statuses = new ArrayList<>();
+    statuses.add(new MemberStatus(self, MemberStatus.Liveness.ALIVE, false, version));
+    statuses.addAll(peers.statuses(nowNanos));
+    ImmutableSet<ZoneId> silent = ownSilentZones(nowNanos);
+    for (ZoneDigest digest : world.all().values()) {
+      if (!digest.zone().equals(self.zone())) {
+        digest.entries().forEach(entry -> statuses.add(toStatus(entry, silent)));
+      }
+    }
+    return new MemberView(self, statuses, silent);
+  }
+
+  private static MemberStatus toStatus(ZoneDigest.Entry entry, ImmutableSet<ZoneId> silent) {
+    MemberStatus.Liveness liveness =
+        silent.contains(entry.member().zone())
+            ? MemberStatus.Liveness.SUSPECTED
+            : MemberStatus.Liveness.ALIVE;
+    return new MemberStatus(entry.member(), liveness, false, entry.version());
+  }
+
+  private List<MemberAction> changes(long nowNanos) {
+    viewMadeNanos = nowNanos;
+    int hash = view(nowNanos).hashCode();
+    if (hash == viewHash) {
+      return ImmutableList.of();
+    }
+    viewHash = hash;
+    return ImmutableList.of(new MemberAction.ViewChanged());
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/platform/HttpPlatform.java
@@ -0,0 +1,196 @@
+package org.mustardstage.entry.platform;
+
+import com.google.common.hash.Hashing;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+import io.vavr.control.Either;
+import java.net.ConnectException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.member.Member;
+
+/** Reaches the platform over HTTP. All methods run on the reactor of the client. */
+public final class HttpPlatform implements TableService, ObjectStore, VmList {
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int SERVICE_UNAVAILABLE = 503;
+  private static final int MAX_BODY_BYTES = 64 << 20;
+  private static final String ZONE_HEADER = "Mustardstage-Zone";
+
+  private final HttpClient client;
+  private final HostAndPort address;
+  private final ZoneId zone;
+
+  /** Creates a client of the platform at {@code address} for a VM in {@code zone}. */
+  public HttpPlatform(HttpClient client, HostAndPort address, ZoneId zone) {
+    this.client = client;
+    this.address = address;
+    this.zone = zone;
+  }
+
+  /** An answer with its status. */
+  private static final class Answer {
+    private final int status;
+    private final byte[] body;
+
+    Answer(int status, byte[] body) {
+      this.status = status;
+      this.body = body;
+    }
+
+    int status() {
+      return status;
+    }
+
+    byte[] body() {
+      return body;
+    }
+  }
+
+  @Override
+  public Promise<Either<PlatformFailure, Optional<Row>>> read(String key) {
+    return call(HttpMethod.GET, "/v1/rows/" + key, Optional.empty())
+        .map(end -> end.flatMap(HttpPlatform::toOptionalRow));
+  }
+
+  private static Either<PlatformFailure, Optional<Row>> toOptionalRow(Answer answer) {
+    if (answer.status() == NOT_FOUND) {
+      return Either.right(Optional.empty());
+    }
+    return okBody(answer)
+        .flatMap(PlatformJson::parse)
+        .flatMap(PlatformJson::toRow)
+        .map(Optional::of);
+  }
+
+  @Override
+  public Promise<Either<PlatformFailure, List<Row>>> scan(String prefix) {
+    String query = URLEncoder.encode(prefix, StandardCharsets.UTF_8);
+    return call(HttpMethod.GET, "/v1/scan?prefix=" + query, Optional.empty())
+        .map(
+            end ->
+                end.flatMap(HttpPlatform::okBody)
+                    .flatMap(PlatformJson::parse)
+                    .flatMap(PlatformJson::toRows));
+  }
+
+  @Override
+  public Promise<TransactionEnd> commit(Transaction transaction) {
+    byte[] body = PlatformJson.fromTransaction(transaction);
+    return call(HttpMethod.POST, "/v1/transactions", Optional.of(body))
+        .map(end -> end.fold(HttpPlatform::toEnd, HttpPlatform::toEnd));
+  }
+
+  private static TransactionEnd toEnd(PlatformFailure failure) {
+    return switch (failure) {
+      case PlatformFailure.Unreachable unreachable -> new TransactionEnd.Unavailable(unreachable);
+      default -> new TransactionEnd.OutcomeUnknown(failure);
+    };
+  }
+
+  private static TransactionEnd toEnd(Answer answer) {
+    return switch (answer.status()) {
+      case OK -> new TransactionEnd.Committed();
+      case CONFLICT -> new TransactionEnd.ConditionFailed();
+      case SERVICE_UNAVAILABLE ->
+          new TransactionEnd.Unavailable(new PlatformFailure.Refused(answer.status()));
+      default -> new TransactionEnd.OutcomeUnknown(new PlatformFailure.Refused(answer.status()));
+    };
+  }
+
+  @Override
+  public Promise<Either<PlatformFailure, String>> put(byte[] content) {
+    String hash = hashOf(content);
+    return call(HttpMethod.PUT, "/v1/objects/" + hash, Optional.of(content))
+        .map(end -> end.flatMap(HttpPlatform::okBody).map(body -> hash));
+  }
+
+  @Override
+  public Promise<Either<PlatformFailure, Optional<byte[]>>> get(String hash) {
+    return call(HttpMethod.GET, "/v1/objects/" + hash, Optional.empty())
+        .map(end -> end.flatMap(answer -> toObject(hash, answer)));
+  }
+
+  private static Either<PlatformFailure, Optional<byte[]>> toObject(String hash, Answer answer) {
+    if (answer.status() == NOT_FOUND) {
+      return Either.right(Optional.empty());
+    }
+    return okBody(answer).flatMap(body -> checkHash(hash, body)).map(Optional::of);
+  }
+
+  private static Either<PlatformFailure, byte[]> checkHash(String hash, byte[] body) {
+    String actual = hashOf(body);
+    if (!actual.equals(hash)) {
+      return Either.left(new PlatformFailure.WrongHash(hash, actual));
+    }
+    return Either.right(body);
+  }
+
+  /** Returns the lower-case SHA-256 of {@code content}. */
+  public static String hashOf(byte[] content) {
+    return Hashing.sha256().hashBytes(content).toString();
+  }
+
+  @Override
+  public Promise<Either<PlatformFailure, List<Member>>> read() {
+    return call(HttpMethod.GET, "/v1/vms", Optional.empty())
+        .map(
+            end ->
+                end.flatMap(HttpPlatform::okBody)
+                    .flatMap(PlatformJson::parse)
+                    .flatMap(PlatformJson::toMembers));
+  }
+
+  @Override
+  public Promise<Either<PlatformFailure, Void>> announce(Member self) {
+    byte[] body = PlatformJson.fromMember(self);
+    return call(HttpMethod.PUT, "/v1/vms/" + self.vm(), Optional.of(body))
+        .map(end -> end.flatMap(HttpPlatform::okBody).map(answer -> null));
+  }
+
+  private static Either<PlatformFailure, byte[]> okBody(Answer answer) {
+    if (answer.status() / 100 != OK / 100) {
+      return Either.left(new PlatformFailure.Refused(answer.status()));
+    }
+    return Either.right(answer.body());
+  }
+
+  private Promise<Either<PlatformFailure, Answer>> call(
+      HttpMethod method, String path, Optional<byte[]> body) {
+    HttpRequest.Builder request =
+        HttpRequest.builder(method, "http://" + address + path)
+            .withHeader(HttpHeaders.of(ZONE_HEADER), zone.value());
+    body.ifPresent(request::withBody);
+    return client
+        .request(request.build())
+        .then(
+            response ->
+                response
+                    .loadBody(MAX_BODY_BYTES)
+                    .map(buf -> new Answer(response.getCode(), copy(buf))))
+        .map(Either::<PlatformFailure, Answer>right, e -> Either.left(toFailure(e)));
+  }
+
+  private static byte[] copy(ByteBuf buf) {
+    return buf.getArray();
+  }
+
+  private static PlatformFailure toFailure(Exception exception) {
+    String detail = String.valueOf(exception);
+    for (Throwable cause = exception; cause != null; cause = cause.getCause()) {
+      if (cause instanceof ConnectException) {
+        return new PlatformFailure.Unreachable(detail);
+      }
+    }
+    return new PlatformFailure.NoAnswer(detail);
+  }
+}
