Read, check and write manifests and settings

Cause: manifests and settings had schemas and records but no way between them. Change: ManifestReader and SettingsReader hold the text against the JSON Schema, map it to records of the core and check what it means, one class for each check; everything wrong is named at once with typed problems. Conclusion: other modules can read manifests and settings through one entrance.

--- a/core/src/main/java/org/mustardstage/core/manifest/CallerBlock.java
+++ b/core/src/main/java/org/mustardstage/core/manifest/CallerBlock.java
@@ -26,4 +26,17 @@
   public long lastAddress() {
     return firstAddress | ((1L << (ADDRESS_BITS - prefixLengthBits)) - 1);
   }
+
+  /** Returns the block written as {@code address/prefixLength}. */
+  public String prefix() {
+    return (firstAddress >>> 24)
+        + "."
+        + (firstAddress >>> 16 & 0xff)
+        + "."
+        + (firstAddress >>> 8 & 0xff)
+        + "."
+        + (firstAddress & 0xff)
+        + "/"
+        + prefixLengthBits;
+  }
 }
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/manifest/check/FittingPriorities.java
@@ -0,0 +1,28 @@
+package org.mustardstage.core.manifest.check;
+
+import java.util.function.Consumer;
+import org.mustardstage.core.manifest.Call;
+import org.mustardstage.core.manifest.Manifest;
+import org.mustardstage.core.manifest.ManifestProblem;
+import org.mustardstage.core.manifest.Priority;
+import org.mustardstage.core.manifest.Service;
+
+/** Requires that calls have the priority of non-idempotent work exactly when they are such. */
+final class FittingPriorities implements ManifestCheck {
+  @Override
+  public void check(Manifest manifest, Consumer<ManifestProblem> problems) {
+    for (Service service : manifest.services()) {
+      service.calls().stream()
+          .filter(call -> !fits(call))
+          .map(
+              call ->
+                  new ManifestProblem.MismatchedPriority(
+                      Paths.of(service, call) + "/priority", call.priority(), call.idempotent()))
+          .forEach(problems);
+    }
+  }
+
+  private static boolean fits(Call call) {
+    return call.idempotent() != (call.priority() == Priority.NON_IDEMPOTENT);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/manifest/check/ManifestChecker.java
@@ -0,0 +1,51 @@
+package org.mustardstage.core.manifest.check;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.mustardstage.core.manifest.DeclaredNames;
+import org.mustardstage.core.manifest.Manifest;
+import org.mustardstage.core.manifest.ManifestProblem;
+
+/** Finds all that is wrong with the meaning of a manifest, at once. */
+public final class ManifestChecker {
+  private static final ImmutableList<ManifestCheck> PART_CHECKS =
+      ImmutableList.of(
+          new UniqueNames(),
+          new DistinctAddresses(),
+          new DisjointCallerBlocks(),
+          new DistinctLinks(),
+          new CompatibleMoves(),
+          new FittingPriorities(),
+          new ReachableCalls());
+
+  private static final ImmutableList<ManifestCheck> WHOLE_CHECKS =
+      ImmutableList.of(new LastingEndpoints(), new PlacesOfMoves(), new SharesCoverRequests());
+
+  private ManifestChecker() {}
+
+  /** Returns the problems of a whole manifest; it may be put in force when there is none. */
+  public static ImmutableList<ManifestProblem> check(Manifest manifest) {
+    ImmutableList.Builder<ManifestProblem> problems = ImmutableList.builder();
+    problems.addAll(checkParts(manifest, DeclaredNames.of(manifest)));
+    runAll(WHOLE_CHECKS, manifest, problems);
+    return problems.build();
+  }
+
+  /**
+   * Returns the problems of those parts of a manifest that could be read. A name counts as known
+   * when {@code declared} holds it, even if the part that declares it could not be read.
+   */
+  public static ImmutableList<ManifestProblem> checkParts(Manifest parts, DeclaredNames declared) {
+    ImmutableList.Builder<ManifestProblem> problems = ImmutableList.builder();
+    new KnownNames(declared).check(parts, problems::add);
+    runAll(PART_CHECKS, parts, problems);
+    return problems.build();
+  }
+
+  private static void runAll(
+      List<ManifestCheck> checks,
+      Manifest manifest,
+      ImmutableList.Builder<ManifestProblem> problems) {
+    checks.forEach(check -> check.check(manifest, problems::add));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/manifest/check/PlacesOfMoves.java
@@ -0,0 +1,40 @@
+package org.mustardstage.core.manifest.check;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.manifest.Endpoint;
+import org.mustardstage.core.manifest.Manifest;
+import org.mustardstage.core.manifest.ManifestProblem;
+import org.mustardstage.core.manifest.PlannedMove;
+import org.mustardstage.core.manifest.Service;
+
+/** Requires that the receiving region of a move has endpoints, and a link from the giving one. */
+final class PlacesOfMoves implements ManifestCheck {
+  @Override
+  public void check(Manifest manifest, Consumer<ManifestProblem> problems) {
+    manifest.moves().forEach(move -> checkMove(manifest, move, problems));
+  }
+
+  private static void checkMove(
+      Manifest manifest, PlannedMove move, Consumer<ManifestProblem> problems) {
+    Optional<Service> service = manifest.findService(move.service());
+    if (service.isPresent() && !hasEndpoint(manifest, service.get(), move.to())) {
+      problems.accept(
+          new ManifestProblem.MoveWithoutPlace(
+              Paths.of(move) + "/to", move.id(), move.to(), move.service()));
+    }
+    if (manifest.regionLinks().stream().noneMatch(link -> link.joins(move.from(), move.to()))) {
+      problems.accept(
+          new ManifestProblem.MoveWithoutLink(Paths.of(move), move.id(), move.from(), move.to()));
+    }
+  }
+
+  private static boolean hasEndpoint(Manifest manifest, Service service, RegionId region) {
+    DrainedEndpoints drained = DrainedEndpoints.of(manifest);
+    return service.endpoints().stream()
+        .filter(drained::stays)
+        .map(Endpoint::zone)
+        .anyMatch(zone -> manifest.findRegion(zone).filter(region::equals).isPresent());
+  }
+}
--- /dev/null
+++ b/schema/src/main/java/org/mustardstage/schema/SchemaValidator.java
@@ -0,0 +1,47 @@
+package org.mustardstage.schema;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Preconditions;
+import com.google.common.collect.ImmutableList;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion.VersionFlag;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.Collection;
+
+/** Holds documents against one of the JSON Schemas of this module. */
+final class SchemaValidator {
+  private static final JsonSchemaFactory FACTORY =
+      JsonSchemaFactory.getInstance(VersionFlag.V202012);
+
+  private final JsonSchema schema;
+
+  private SchemaValidator(JsonSchema schema) {
+    this.schema = schema;
+  }
+
+  /** Returns the validator for the schema from which {@code generatedClass} was made. */
+  static SchemaValidator forClass(Class<?> generatedClass) {
+    String resource = generatedClass.getSimpleName() + ".json";
+    try (InputStream stream = SchemaValidator.class.getResourceAsStream(resource)) {
+      Preconditions.checkArgument(stream != null, "no schema gave %s", generatedClass);
+      return new SchemaValidator(FACTORY.getSchema(stream));
+    } catch (IOException e) {
+      throw new UncheckedIOException("can't read schema " + resource, e);
+    }
+  }
+
+  /** Returns every place where {@code document} differs from the schema. */
+  ImmutableList<SchemaViolation> validate(JsonNode document) {
+    Collection<ValidationMessage> messages = schema.validate(document);
+    return messages.stream()
+        .map(message -> SchemaViolation.of(message, document))
+        .distinct()
+        .collect(toImmutableList());
+  }
+}
