--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/overload/Waiting.java
@@ -0,0 +1,13 @@
+package org.mustardstage.core.overload;
+
+import org.mustardstage.core.manifest.Priority;
+
+/**
+ * A request that waits for an endpoint.
+ *
+ * @param requestId names the request, unique within the queue
+ * @param priority the place of its call under overload
+ * @param arrivedNanos when it arrived
+ * @param deadlineNanos when its caller stops waiting
+ */
+public record Waiting(long requestId, Priority priority, long arrivedNanos, long deadlineNanos) {}
--- /dev/null
+++ b/core/src/test/java/org/mustardstage/core/overload/RetryBudgetTest.java
@@ -0,0 +1,51 @@
+package org.mustardstage.core.overload;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+  @Test
+  void grantsOneRetryInTenFirstAttempts() {
+    RetryBudget budget = new RetryBudget(0.1, 0, 10);
+    assertThat(budget.tryRetry(), is(false));
+    for (int i = 0; i < 10; i++) {
+      budget.recordFirstAttempt();
+    }
+    assertThat(budget.tryRetry(), is(true));
+    assertThat(budget.tryRetry(), is(false));
+  }
+
+  @Test
+  void savesUpNoMoreThanItsBound() {
+    RetryBudget budget = new RetryBudget(1, 0, 2);
+    for (int i = 0; i < 10; i++) {
+      budget.recordFirstAttempt();
+    }
+    assertThat(budget.tryRetry(), is(true));
+    assertThat(budget.tryRetry(), is(true));
+    assertThat(budget.tryRetry(), is(false));
+  }
+
+  @Property(tries = 300, seed = "4402")
+  void neverGrantsMoreThanItsShare(@ForAll @Size(max = 400) List<Boolean> firstAttempts) {
+    RetryBudget budget = RetryBudget.ofTenth();
+    int attempts = 0;
+    int retries = 0;
+    for (boolean first : firstAttempts) {
+      if (first) {
+        budget.recordFirstAttempt();
+        attempts++;
+      } else if (budget.tryRetry()) {
+        retries++;
+      }
+      assertThat(retries, lessThanOrEqualTo(5 + attempts / 10));
+    }
+  }
+}
