--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/permit/OwnershipList.java
@@ -0,0 +1,48 @@
+package org.mustardstage.core.permit;
+
+import com.google.common.base.Preconditions;
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.mustardstage.core.id.VmIncarnation;
+import org.mustardstage.core.id.ZoneId;
+
+/**
+ * Who owns the permits of a zone, as its row in the table says. The permits are spread over a fixed
+ * number of parts, and each part has one owner.
+ *
+ * @param zone the zone
+ * @param revision the revision of the row; 0 when the row is absent
+ * @param owners the owner of each part; empty when the row is absent
+ */
+public record OwnershipList(ZoneId zone, long revision, List<VmIncarnation> owners) {
+  /** The number of parts of a zone. */
+  public static final int PARTS = 64;
+
+  private static final int MULTIPLIER = 0x9E3779B1;
+  private static final int SPREAD_SHIFT_BITS = 16;
+
+  /** Checks that every part has an owner, or that the row is absent. */
+  public OwnershipList {
+    owners = ImmutableList.copyOf(owners);
+    Preconditions.checkArgument(revision >= 0, "revision must not be negative: %s", revision);
+    Preconditions.checkArgument(
+        owners.size() == (revision == 0 ? 0 : PARTS), "wrong number of owners: %s", owners.size());
+  }
+
+  /** Returns the list of a zone whose row is absent. */
+  public static OwnershipList absent(ZoneId zone) {
+    return new OwnershipList(zone, 0, ImmutableList.of());
+  }
+
+  /** Returns the part of permit {@code number} of {@code limit}. */
+  public static int partOf(LimitId limit, int number) {
+    int hash = limit.hashCode() * MULTIPLIER;
+    int start = (hash ^ (hash >>> SPREAD_SHIFT_BITS)) & (PARTS - 1);
+    return (start + number) & (PARTS - 1);
+  }
+
+  /** Returns whether {@code vm} owns {@code part}. */
+  public boolean isOwner(VmIncarnation vm, int part) {
+    return revision > 0 && owners.get(part).equals(vm);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/permit/PermitSettings.java
@@ -0,0 +1,104 @@
+package org.mustardstage.core.permit;
+
+import com.google.common.base.Preconditions;
+
+/**
+ * The times and bounds by which permits are leased.
+ *
+ * @param leaseNanos the longest lease, and so the longest use of a permit
+ * @param renewBeforeNanos a lease with less time left is renewed
+ * @param maxClockRateErrorPpm how far the rate of a clock may be off, in parts per million
+ * @param idleReturnNanos how long an idle permit stays where it was last used
+ * @param pauseNanos a gap between two events longer than this counts as a pause of the process
+ * @param deadlineMarginNanos how long a request may run past its deadline as the sender counts it
+ * @param ownershipValidityNanos how long ownership lasts without confirmation
+ * @param remoteLeaseNanos the longest lease to a VM of another zone
+ * @param remoteIdleReturnNanos how long an idle permit of another zone stays where it was used
+ * @param wantedNanos how long a call for idle permits is heeded
+ * @param askOwnersNanos how long a request waits for the allocators before the owners are asked
+ * @param maxWaiting the most requests that wait, and the most waiting requests of other VMs
+ */
+public record PermitSettings(
+    long leaseNanos,
+    long renewBeforeNanos,
+    long maxClockRateErrorPpm,
+    long idleReturnNanos,
+    long pauseNanos,
+    long deadlineMarginNanos,
+    long ownershipValidityNanos,
+    long remoteLeaseNanos,
+    long remoteIdleReturnNanos,
+    long wantedNanos,
+    long askOwnersNanos,
+    int maxWaiting) {
+  private static final long MILLIS = 1_000_000L;
+  private static final long DEFAULT_LEASE_NANOS = 10_000 * MILLIS;
+  private static final long MILLION = 1_000_000L;
+
+  /** Checks that the times fit together. */
+  public PermitSettings {
+    Preconditions.checkArgument(leaseNanos > 0, "leaseNanos must be positive");
+    Preconditions.checkArgument(
+        deadlineMarginNanos >= 0 && deadlineMarginNanos < leaseNanos / 2,
+        "deadlineMarginNanos must be below half of leaseNanos");
+    Preconditions.checkArgument(
+        renewBeforeNanos > 0 && renewBeforeNanos < leaseNanos, "renewBeforeNanos out of range");
+    Preconditions.checkArgument(
+        maxClockRateErrorPpm >= 0 && maxClockRateErrorPpm < MILLION / 10,
+        "maxClockRateErrorPpm out of range");
+    Preconditions.checkArgument(
+        pauseNanos > 0 && pauseNanos <= leaseNanos, "pauseNanos must not exceed leaseNanos");
+    Preconditions.checkArgument(
+        ownershipValidityNanos > 0 && ownershipValidityNanos <= leaseNanos,
+        "ownershipValidityNanos must not exceed leaseNanos");
+    Preconditions.checkArgument(
+        remoteLeaseNanos > 0 && remoteLeaseNanos <= leaseNanos,
+        "remoteLeaseNanos must not exceed leaseNanos");
+    Preconditions.checkArgument(maxWaiting > 0, "maxWaiting must be positive");
+  }
+
+  /** Returns the settings for deadlines below ten seconds. */
+  public static PermitSettings defaults() {
+    return forLease(DEFAULT_LEASE_NANOS);
+  }
+
+  /** Returns settings under which a request may run for {@code deadlineNanos}. */
+  public static PermitSettings forLongestDeadline(long deadlineNanos) {
+    return forLease(Math.max(DEFAULT_LEASE_NANOS, deadlineNanos + deadlineNanos / 10));
+  }
+
+  private static PermitSettings forLease(long leaseNanos) {
+    return new PermitSettings(
+        leaseNanos,
+        leaseNanos / 2,
+        500,
+        5 * MILLIS,
+        2_000 * MILLIS,
+        250 * MILLIS,
+        leaseNanos / 2,
+        leaseNanos / 2,
+        1_000 * MILLIS,
+        100 * MILLIS,
+        60 * MILLIS,
+        4_096);
+  }
+
+  /** Returns the longest time a request may use a permit. */
+  public long longestUseNanos() {
+    return shrink(leaseNanos) - deadlineMarginNanos;
+  }
+
+  /** Returns {@code nanos} shortened so that it ends in time on a clock that runs slow. */
+  long shrink(long nanos) {
+    return nanos - errorOf(nanos);
+  }
+
+  /** Returns {@code nanos} lengthened so that it ends in time on a clock that runs fast. */
+  long stretch(long nanos) {
+    return nanos + errorOf(nanos);
+  }
+
+  private long errorOf(long nanos) {
+    return nanos / MILLION * maxClockRateErrorPpm + maxClockRateErrorPpm;
+  }
+}
