--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
@@ -0,0 +1,73 @@
+package org.mustardstage.entry.peer;
+
+import java.util.Arrays;
+import java.util.Optional;
+import org.mustardstage.schema.generated.WireConfigAnnounce;
+import org.mustardstage.schema.generated.WireConfigFetch;
+import org.mustardstage.schema.generated.WireConfigObjects;
+import org.mustardstage.schema.generated.WireConfirmOwnership;
+import org.mustardstage.schema.generated.WireDigestSummary;
+import org.mustardstage.schema.generated.WireDigests;
+import org.mustardstage.schema.generated.WireHandover;
+import org.mustardstage.schema.generated.WireHandoverReceived;
+import org.mustardstage.schema.generated.WireHeartbeat;
+import org.mustardstage.schema.generated.WireHello;
+import org.mustardstage.schema.generated.WireLeaseRenewal;
+import org.mustardstage.schema.generated.WireLeaseRenewed;
+import org.mustardstage.schema.generated.WireLeaseRequest;
+import org.mustardstage.schema.generated.WireLeaseReturn;
+import org.mustardstage.schema.generated.WireLeaseTransfer;
+import org.mustardstage.schema.generated.WireLeaseWithdrawal;
+import org.mustardstage.schema.generated.WireOwnershipAdvertised;
+import org.mustardstage.schema.generated.WireOwnershipConfirmed;
+import org.mustardstage.schema.generated.WirePermitsWanted;
+
+/** The kinds of messages and their numbers in a frame. A number is never used again. */
+enum MessageKind {
+  HELLO(1, WireHello.class),
+  HEARTBEAT(2, WireHeartbeat.class),
+  DIGEST_SUMMARY(3, WireDigestSummary.class),
+  DIGESTS(4, WireDigests.class),
+  CONFIG_ANNOUNCE(5, WireConfigAnnounce.class),
+  CONFIG_FETCH(6, WireConfigFetch.class),
+  CONFIG_OBJECTS(7, WireConfigObjects.class),
+  LEASE_REQUEST(8, WireLeaseRequest.class),
+  LEASE_WITHDRAWAL(9, WireLeaseWithdrawal.class),
+  LEASE_TRANSFER(10, WireLeaseTransfer.class),
+  LEASE_RETURN(11, WireLeaseReturn.class),
+  LEASE_RENEWAL(12, WireLeaseRenewal.class),
+  LEASE_RENEWED(13, WireLeaseRenewed.class),
+  PERMITS_WANTED(14, WirePermitsWanted.class),
+  CONFIRM_OWNERSHIP(15, WireConfirmOwnership.class),
+  OWNERSHIP_CONFIRMED(16, WireOwnershipConfirmed.class),
+  OWNERSHIP_ADVERTISED(17, WireOwnershipAdvertised.class),
+  HANDOVER(18, WireHandover.class),
+  HANDOVER_RECEIVED(19, WireHandoverReceived.class);
+
+  private final int number;
+  private final Class<?> payloadClass;
+
+  MessageKind(int number, Class<?> payloadClass) {
+    this.number = number;
+    this.payloadClass = payloadClass;
+  }
+
+  int number() {
+    return number;
+  }
+
+  Class<?> payloadClass() {
+    return payloadClass;
+  }
+
+  static Optional<MessageKind> ofNumber(int number) {
+    return Arrays.stream(values()).filter(kind -> kind.number == number).findFirst();
+  }
+
+  static MessageKind ofPayload(Object payload) {
+    return Arrays.stream(values())
+        .filter(kind -> kind.payloadClass.isInstance(payload))
+        .findFirst()
+        .orElseThrow(() -> new IllegalArgumentException("not a payload: " + payload.getClass()));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -0,0 +1,165 @@
+package org.mustardstage.entry.peer;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import org.msgpack.jackson.dataformat.JsonArrayFormat;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.schema.generated.WireConfigAnnounce;
+import org.mustardstage.schema.generated.WireConfigFetch;
+import org.mustardstage.schema.generated.WireConfigObject;
+import org.mustardstage.schema.generated.WireConfigObjects;
+import org.mustardstage.schema.generated.WireConfirmOwnership;
+import org.mustardstage.schema.generated.WireDigestSummary;
+import org.mustardstage.schema.generated.WireDigests;
+import org.mustardstage.schema.generated.WireHandover;
+import org.mustardstage.schema.generated.WireHandoverReceived;
+import org.mustardstage.schema.generated.WireHeartbeat;
+import org.mustardstage.schema.generated.WireHello;
+import org.mustardstage.schema.generated.WireLeaseRenewal;
+import org.mustardstage.schema.generated.WireLeaseRenewed;
+import org.mustardstage.schema.generated.WireLeaseRequest;
+import org.mustardstage.schema.generated.WireLeaseReturn;
+import org.mustardstage.schema.generated.WireLeaseTransfer;
+import org.mustardstage.schema.generated.WireLeaseWithdrawal;
+import org.mustardstage.schema.generated.WireOwnershipAdvertised;
+import org.mustardstage.schema.generated.WireOwnershipConfirmed;
+import org.mustardstage.schema.generated.WirePermitsWanted;
+
+/**
+ * Converts messages to the content of frames and back. The content is a MessagePack array of the
+ * protocol version, the number of the kind, the correlation id and the payload; a payload is an
+ * array of its fields in the order of the schema.
+ */
+public final class PeerCodec {
+  /** The version of the protocol. */
+  public static final int PROTOCOL_VERSION = 1;
+
+  private static final ObjectMapper MAPPER = newMapper();
+
+  private PeerCodec() {}
+
+  private static ObjectMapper newMapper() {
+    ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+    mapper.setAnnotationIntrospector(new JsonArrayFormat());
+    return mapper;
+  }
+
+  /** A message with its correlation id. */
+  public record Frame(long correlationId, PeerMessage message) {}
+
+  /** Returns the content of the frame that carries {@code message}. */
+  public static byte[] encode(long correlationId, PeerMessage message) {
+    Object payload = toWire(message);
+    int kind = MessageKind.ofPayload(payload).number();
+    try {
+      return MAPPER.writeValueAsBytes(
+          new Object[] {PROTOCOL_VERSION, kind, correlationId, payload});
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a wire class can't be written", e);
+    }
+  }
+
+  private static Object toWire(PeerMessage message) {
+    return switch (message) {
+      case PeerMessage.Hello hello -> new WireHello().withMember(MemberWire.toWire(hello.member()));
+      case PeerMessage.OfMembership of -> MemberWire.toWire(of.message());
+      case PeerMessage.OfPermits of -> PermitWire.toWire(of.message());
+      case PeerMessage.ConfigAnnounce announce ->
+          new WireConfigAnnounce()
+              .withVersion(announce.version().number())
+              .withRootHash(announce.rootHash());
+      case PeerMessage.ConfigFetch fetch -> new WireConfigFetch().withHashes(fetch.hashes());
+      case PeerMessage.ConfigObjects objects ->
+          new WireConfigObjects()
+              .withObjects(objects.objects().stream().map(PeerCodec::toWire).toList());
+    };
+  }
+
+  private static WireConfigObject toWire(PeerMessage.ConfigObject object) {
+    return new WireConfigObject()
+        .withHash(object.hash())
+        .withContent(object.content().orElse(null));
+  }
+
+  /** Returns the message that the content of a frame holds. */
+  public static Either<FrameProblem, Frame> decode(byte[] content) {
+    try (JsonParser parser = MAPPER.createParser(content)) {
+      return decode(parser);
+    } catch (IOException | RuntimeException e) {
+      return Either.left(new FrameProblem.Malformed(String.valueOf(e.getMessage())));
+    }
+  }
+
+  private static Either<FrameProblem, Frame> decode(JsonParser parser) throws IOException {
+    if (parser.nextToken() != JsonToken.START_ARRAY) {
+      return Either.left(new FrameProblem.Malformed("a frame is an array"));
+    }
+    int version = nextInt(parser);
+    if (version != PROTOCOL_VERSION) {
+      return Either.left(new FrameProblem.UnknownVersion(version));
+    }
+    int number = nextInt(parser);
+    long correlationId = nextLong(parser);
+    Optional<MessageKind> kind = MessageKind.ofNumber(number);
+    if (kind.isEmpty()) {
+      return Either.left(new FrameProblem.UnknownKind(number));
+    }
+    parser.nextToken();
+    Object payload = MAPPER.readValue(parser, kind.get().payloadClass());
+    return Either.right(new Frame(correlationId, fromWire(payload)));
+  }
+
+  private static int nextInt(JsonParser parser) throws IOException {
+    parser.nextToken();
+    return parser.getIntValue();
+  }
+
+  private static long nextLong(JsonParser parser) throws IOException {
+    parser.nextToken();
+    return parser.getLongValue();
+  }
+
+  private static PeerMessage fromWire(Object payload) {
+    return switch (payload) {
+      case WireHello w -> new PeerMessage.Hello(MemberWire.fromWire(w.getMember()));
+      case WireConfigAnnounce w ->
+          new PeerMessage.ConfigAnnounce(new ConfigVersion(w.getVersion()), w.getRootHash());
+      case WireConfigFetch w -> new PeerMessage.ConfigFetch(w.getHashes());
+      case WireConfigObjects w -> fromWire(w);
+      case WireHeartbeat w -> new PeerMessage.OfMembership(MemberWire.fromWire(w));
+      case WireDigestSummary w -> new PeerMessage.OfMembership(MemberWire.fromWire(w));
+      case WireDigests w -> new PeerMessage.OfMembership(MemberWire.fromWire(w));
+      case WireLeaseRequest w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireLeaseWithdrawal w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireLeaseTransfer w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireLeaseReturn w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireLeaseRenewal w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireLeaseRenewed w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WirePermitsWanted w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireConfirmOwnership w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireOwnershipConfirmed w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireOwnershipAdvertised w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireHandover w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireHandoverReceived w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      default -> throw new IllegalArgumentException("not a payload: " + payload.getClass());
+    };
+  }
+
+  private static PeerMessage fromWire(WireConfigObjects wire) {
+    List<PeerMessage.ConfigObject> objects =
+        wire.getObjects().stream()
+            .map(
+                object ->
+                    new PeerMessage.ConfigObject(
+                        object.getHash(), Optional.ofNullable(object.getContent())))
+            .toList();
+    return new PeerMessage.ConfigObjects(objects);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
@@ -0,0 +1,43 @@
+package org.mustardstage.entry.peer;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Optional;
+import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.member.Member;
+import org.mustardstage.core.member.MemberMessage;
+import org.mustardstage.core.permit.PermitMessage;
+
+/** A message between entry VMs. */
+public sealed interface PeerMessage {
+  /** Introduces the sender; the first message on a connection, in both directions. */
+  record Hello(Member member) implements PeerMessage {}
+
+  /** A message of the membership protocol. */
+  record OfMembership(MemberMessage message) implements PeerMessage {}
+
+  /** A message of the permit protocol. */
+  record OfPermits(PermitMessage message) implements PeerMessage {}
+
+  /** Tells which manifest is in force at the sender, by the hash of its root object. */
+  record ConfigAnnounce(ConfigVersion version, String rootHash) implements PeerMessage {}
+
+  /** Asks for objects by hash. */
+  record ConfigFetch(List<String> hashes) implements PeerMessage {
+    /** Copies the list. */
+    public ConfigFetch {
+      hashes = ImmutableList.copyOf(hashes);
+    }
+  }
+
+  /** Carries the objects that were asked for. */
+  record ConfigObjects(List<ConfigObject> objects) implements PeerMessage {
+    /** Copies the list. */
+    public ConfigObjects {
+      objects = ImmutableList.copyOf(objects);
+    }
+  }
+
+  /** An object; without content when the sender does not have it. */
+  record ConfigObject(String hash, Optional<String> content) {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between entry VMs: frames of MessagePack over TCP. */
+package org.mustardstage.entry.peer;
