--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/drain/DrainSituation.java
@@ -0,0 +1,39 @@
+package org.mustardstage.core.drain;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.Map;
+import java.util.Set;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.ZoneId;
+
+/**
+ * What is known of the running system when drains are checked.
+ *
+ * @param alreadyLeaving endpoints that leave by the VM list or their own word
+ * @param slotsInUse the slots of each service in use, on average; a service that is not named has
+ *     no known demand
+ * @param entryVms the entry VMs of each zone; empty when they are not known
+ */
+public record DrainSituation(
+    Set<EndpointId> alreadyLeaving,
+    Map<ServiceName, Double> slotsInUse,
+    Map<ZoneId, Set<VmId>> entryVms) {
+  /** The situation when only the manifest is at hand. */
+  public static final DrainSituation UNKNOWN =
+      new DrainSituation(ImmutableSet.of(), ImmutableMap.of(), ImmutableMap.of());
+
+  /** Copies the collections. */
+  public DrainSituation {
+    alreadyLeaving = ImmutableSet.copyOf(alreadyLeaving);
+    slotsInUse = ImmutableMap.copyOf(slotsInUse);
+    entryVms = ImmutableMap.copyOf(entryVms);
+  }
+
+  /** Returns whether {@code vm} is in the list of entry VMs, or the list is not known. */
+  boolean mayHave(VmId vm) {
+    return entryVms.isEmpty() || entryVms.values().stream().anyMatch(vms -> vms.contains(vm));
+  }
+}
