--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/log/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events. The catalogue is {@code docs/events.md}. */
+package org.mustardstage.entry.log;
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerLink.java
@@ -0,0 +1,118 @@
+package org.mustardstage.entry.peer;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.binary.BinaryChannelSupplier;
+import io.activej.csp.binary.decoder.ByteBufsDecoder;
+import io.activej.csp.binary.decoder.ByteBufsDecoders;
+import io.activej.csp.supplier.ChannelSuppliers;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.vavr.control.Either;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.mustardstage.core.member.Member;
+
+/** One connection to another entry VM. Used on the control thread only. */
+final class PeerLink {
+  static final int MAX_FRAME_BYTES = 16 << 20;
+  private static final int LENGTH_BYTES = Integer.BYTES;
+  private static final long MAX_PENDING_BYTES = 32 << 20;
+  private static final ByteBufsDecoder<ByteBuf> DECODER =
+      ByteBufsDecoders.ofIntSizePrefixedBytes(MAX_FRAME_BYTES);
+
+  private final ITcpSocket socket;
+  private final BinaryChannelSupplier frames;
+  private final Listener listener;
+  private final LinkStats stats;
+  private Optional<Member> remote = Optional.empty();
+  private long lastHeardNanos;
+  private long pendingBytes;
+  private boolean closed;
+
+  /** Hears of what happens on a link. */
+  interface Listener {
+    /** A message came; the first one of a link is {@link PeerMessage.Hello}. */
+    void onMessage(PeerLink link, PeerCodec.Frame frame);
+
+    /** A frame was not understood; the link is closed after this call. */
+    void onBadFrame(PeerLink link, FrameProblem problem);
+
+    /** The link is closed. */
+    void onClosed(PeerLink link);
+  }
+
+  PeerLink(ITcpSocket socket, Listener listener, LinkStats stats, long nowNanos) {
+    this.socket = socket;
+    this.frames = BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(socket));
+    this.listener = listener;
+    this.stats = stats;
+    this.lastHeardNanos = nowNanos;
+  }
+
+  Optional<Member> remote() {
+    return remote;
+  }
+
+  void identify(Member member) {
+    remote = Optional.of(member);
+  }
+
+  long lastHeardNanos() {
+    return lastHeardNanos;
+  }
+
+  void heard(long nowNanos) {
+    lastHeardNanos = nowNanos;
+  }
+
+  boolean isClosed() {
+    return closed;
+  }
+
+  void startReading() {
+    readNext();
+  }
+
+  private void readNext() {
+    frames.decode(DECODER).whenResult(this::onFrame).whenException(e -> close());
+  }
+
+  private void onFrame(ByteBuf buf) {
+    byte[] content = buf.asArray();
+    stats.onReceived(content.length + LENGTH_BYTES);
+    Either<FrameProblem, PeerCodec.Frame> decoded = PeerCodec.decode(content);
+    if (decoded.isLeft()) {
+      listener.onBadFrame(this, decoded.getLeft());
+      close();
+      return;
+    }
+    listener.onMessage(this, decoded.get());
+    if (!closed) {
+      readNext();
+    }
+  }
+
+  void send(long correlationId, PeerMessage message) {
+    byte[] content = PeerCodec.encode(correlationId, message);
+    int frameBytes = content.length + LENGTH_BYTES;
+    if (closed || pendingBytes + frameBytes > MAX_PENDING_BYTES) {
+      close();
+      return;
+    }
+    ByteBuffer frame = ByteBuffer.allocate(frameBytes).putInt(content.length).put(content);
+    pendingBytes += frameBytes;
+    stats.onSent(frameBytes);
+    socket
+        .write(ByteBuf.wrapForReading(frame.array()))
+        .whenComplete(() -> pendingBytes -= frameBytes)
+        .whenException(e -> close());
+  }
+
+  void close() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    socket.close();
+    listener.onClosed(this);
+  }
+}
--- a/schema/src/main/java/org/mustardstage/schema/ManifestWriter.java
+++ b/schema/src/main/java/org/mustardstage/schema/ManifestWriter.java
@@ -31,17 +31,21 @@
 
   /** Returns {@code manifest} as YAML. */
   public static String write(Manifest manifest) {
-    return YamlDocuments.write(
-        new org.mustardstage.schema.generated.Manifest()
-            .withSchemaVersion(SCHEMA_VERSION)
-            .withDeployment(manifest.deployment())
-            .withAnswerLifetimeMillis(manifest.answerLifetimeMillis())
-            .withZones(manifest.zones().stream().map(ManifestWriter::zone).toList())
-            .withRegionLinks(manifest.regionLinks().stream().map(ManifestWriter::link).toList())
-            .withServices(manifest.services().stream().map(ManifestWriter::service).toList())
-            .withCallerBlocks(manifest.callerBlocks().stream().map(ManifestWriter::block).toList())
-            .withMoves(manifest.moves().stream().map(ManifestWriter::move).toList())
-            .withDrains(manifest.drains().stream().map(ManifestWriter::drain).toList()));
+    return YamlDocuments.write(toGenerated(manifest));
+  }
+
+  /** Returns {@code manifest} as an object of the class generated from the schema. */
+  static org.mustardstage.schema.generated.Manifest toGenerated(Manifest manifest) {
+    return new org.mustardstage.schema.generated.Manifest()
+        .withSchemaVersion(SCHEMA_VERSION)
+        .withDeployment(manifest.deployment())
+        .withAnswerLifetimeMillis(manifest.answerLifetimeMillis())
+        .withZones(manifest.zones().stream().map(ManifestWriter::zone).toList())
+        .withRegionLinks(manifest.regionLinks().stream().map(ManifestWriter::link).toList())
+        .withServices(manifest.services().stream().map(ManifestWriter::service).toList())
+        .withCallerBlocks(manifest.callerBlocks().stream().map(ManifestWriter::block).toList())
+        .withMoves(manifest.moves().stream().map(ManifestWriter::move).toList())
+        .withDrains(manifest.drains().stream().map(ManifestWriter::drain).toList());
   }
 
   private static ManifestZone zone(Zone zone) {
