--- a/core/src/main/java/org/mustardstage/core/config/ConfigAction.java
+++ b/core/src/main/java/org/mustardstage/core/config/ConfigAction.java
@@ -19,4 +19,7 @@
 
   /** Put the assembled manifest in force. */
   record PutInForce(ConfigHead head) implements ConfigAction {}
+
+  /** Report that an accepted manifest can't be read; it never takes force here. */
+  record Reject(ConfigHead head, String detail) implements ConfigAction {}
 }
--- a/core/src/main/java/org/mustardstage/core/config/ConfigTracker.java
+++ b/core/src/main/java/org/mustardstage/core/config/ConfigTracker.java
@@ -97,7 +97,7 @@
     } catch (ConfigObjects.InvalidManifestException e) {
       invalid.add(current.head());
       attempt = Optional.empty();
-      return ImmutableList.of();
+      return ImmutableList.of(new ConfigAction.Reject(current.head(), e.getMessage()));
     }
     if (!missing.isEmpty()) {
       return ImmutableList.of(new ConfigAction.Fetch(current.source(), missing));
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/EntryProcess.java
@@ -0,0 +1,65 @@
+package org.mustardstage.entry;
+
+import java.io.IOException;
+import org.mustardstage.entry.control.AdminServer;
+import org.mustardstage.entry.control.ControlThread;
+import org.mustardstage.entry.control.HomeAddresses;
+import org.mustardstage.entry.control.LookupAnswers;
+import org.mustardstage.entry.log.Event;
+import org.mustardstage.entry.log.EventLog;
+import org.mustardstage.entry.settings.ProcessSettings;
+import org.mustardstage.entry.traffic.TrafficServer;
+
+/** All services of one entry VM. */
+public final class EntryProcess {
+  private final ProcessSettings settings;
+  private final ControlThread control;
+  private final TrafficServer traffic;
+  private final AdminServer admin;
+
+  /** Creates the services of the run {@code incarnationNumber} of the VM of {@code settings}. */
+  public EntryProcess(ProcessSettings settings, long incarnationNumber) {
+    this.settings = settings;
+    this.control = new ControlThread(settings, incarnationNumber);
+    this.traffic =
+        new TrafficServer(
+            settings.traffic(),
+            control::snapshot,
+            control.admission(),
+            new LookupAnswers(control),
+            new HomeAddresses(control));
+    this.admin = new AdminServer(control, settings.adminAddress());
+  }
+
+  /**
+   * Starts everything.
+   *
+   * @throws IOException if an address can't be listened on
+   */
+  public void start() throws IOException {
+    control.start();
+    admin.start();
+    traffic.start();
+    EventLog.log(
+        Event.STARTED,
+        "vm",
+        control.snapshot().self(),
+        "zone",
+        settings.zone(),
+        "traffic",
+        settings.trafficAddress());
+  }
+
+  /**
+   * Stops gracefully: leaves the look-up answers, serves on for their lifetime, lets running requests
+   * end, hands over permits and ownerships, then ends.
+   */
+  public void stop() {
+    EventLog.log(Event.STOP_BEGAN, "vm", control.snapshot().self());
+    control.leave();
+    traffic.stop();
+    admin.stop();
+    control.stop();
+    EventLog.log(Event.STOPPED, "vm", control.snapshot().self());
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlMetrics.java
@@ -0,0 +1,105 @@
+package org.mustardstage.entry.control;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
+import io.prometheus.metrics.model.snapshots.MetricSnapshot;
+import io.prometheus.metrics.model.snapshots.MetricSnapshots;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
+import java.util.List;
+import org.mustardstage.core.member.MemberStatus;
+import org.mustardstage.core.permit.PermitStatus;
+import org.mustardstage.entry.peer.LinkStats;
+
+/** Writes the state of the control thread in the text format of Prometheus. */
+final class ControlMetrics {
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final ControlThread control;
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+
+  ControlMetrics(ControlThread control) {
+    this.control = control;
+    registry.register(this::collect);
+  }
+
+  byte[] write() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      writer.write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new UncheckedIOException("writing to memory failed", e);
+    }
+    return out.toByteArray();
+  }
+
+  private MetricSnapshots collect() {
+    return new MetricSnapshots(snapshots());
+  }
+
+  private List<MetricSnapshot> snapshots() {
+    PermitStatus permits = control.permits().status();
+    LinkStats links = control.linkStats();
+    long alive =
+        control.memberView().statuses().stream().filter(MemberStatus::isAlive).count();
+    return List.of(
+        gauge("mustardstage_config_version", "Version of the manifest in force.", version()),
+        gauge("mustardstage_members_alive", "Entry VMs believed alive.", alive),
+        gauge("mustardstage_links", "Open connections to other entry VMs.", control.linkCount()),
+        gauge("mustardstage_permits_owned", "Permits owned here.", permits.permitsOwned()),
+        gauge("mustardstage_permits_in_use", "Permits in use here.", permits.permitsInUse()),
+        gauge("mustardstage_permits_idle", "Permits at hand and idle.", permits.permitsIdle()),
+        gauge(
+            "mustardstage_requests_waiting",
+            "Requests waiting for a permit.",
+            control.admissions().waitingByService().values().stream().mapToInt(n -> n).sum()),
+        gauge(
+            "mustardstage_requests_in_flight",
+            "Requests sent to endpoints and not ended.",
+            control.admissions().usesInFlight()),
+        counter("mustardstage_control_sent_bytes", "Bytes sent to VMs.", links.sentBytes()),
+        counter(
+            "mustardstage_control_sent_messages", "Messages sent to VMs.", links.sentMessages()),
+        counter(
+            "mustardstage_control_received_bytes",
+            "Bytes received from VMs.",
+            links.receivedBytes()),
+        counter(
+            "mustardstage_control_received_messages",
+            "Messages received from VMs.",
+            links.receivedMessages()),
+        counter(
+            "mustardstage_control_cpu_seconds",
+            "Processor time of the control thread.",
+            control.threadCpuNanos() / NANOS_PER_SECOND),
+        gauge(
+            "mustardstage_heap_used_bytes",
+            "Heap in use.",
+            ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed()));
+  }
+
+  private double version() {
+    return control.snapshot().version().number();
+  }
+
+  private static GaugeSnapshot gauge(String name, String help, double value) {
+    return GaugeSnapshot.builder()
+        .name(name)
+        .help(help)
+        .dataPoint(GaugeSnapshot.GaugeDataPointSnapshot.builder().value(value).build())
+        .build();
+  }
+
+  private static CounterSnapshot counter(String name, String help, double value) {
+    return CounterSnapshot.builder()
+        .name(name)
+        .help(help)
+        .dataPoint(CounterSnapshot.CounterDataPointSnapshot.builder().value(value).build())
+        .build();
+  }
+}
--- a/schema/src/main/java/org/mustardstage/schema/ManifestAssembler.java
+++ b/schema/src/main/java/org/mustardstage/schema/ManifestAssembler.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,6 +25,11 @@
 
   private Map<String, Manifest> partsByHash = new HashMap<>();
 
+  /** Returns the hashes of the parts of the manifest that was put together last. */
+  public ImmutableSet<String> partHashes() {
+    return ImmutableSet.copyOf(partsByHash.keySet());
+  }
+
   /** Returns the manifest whose root is stored under {@code rootHash}. */
   public Either<AssemblyProblem, Manifest> assemble(
       String rootHash, Function<String, Optional<String>> objects) {
