Carry requests to endpoints with typed outcomes, and answer look-ups over HTTP

Cause: callers had nothing to talk to. Change: core.outcome holds the outcomes, the retry rule and the memory of idempotency keys; entry.traffic holds the ActiveJ server, one client per endpoint connection, cancels, key homes and silence detection. Key prefixes carry an issue epoch, so that a home can tell a new key from a forgotten one.

--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/outcome/AttemptEnd.java
@@ -0,0 +1,18 @@
+package org.mustardstage.core.outcome;
+
+/** How one try at an endpoint ended without a whole answer. */
+public sealed interface AttemptEnd {
+  /**
+   * The endpoint surely did not run the request.
+   *
+   * @param reason how that is known
+   */
+  record DidNotRun(NotRunReason reason) implements AttemptEnd {}
+
+  /**
+   * The endpoint may have run the request.
+   *
+   * @param cause what went wrong
+   */
+  record MayHaveRun(UnknownCause cause) implements AttemptEnd {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/AnswerBodyStream.java
@@ -0,0 +1,24 @@
+package org.mustardstage.entry.traffic;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.supplier.AbstractChannelSupplier;
+import io.activej.csp.supplier.ChannelSupplier;
+import io.activej.promise.Promise;
+
+/** The large body that a caller is sent, noting when the caller holds it up. */
+final class AnswerBodyStream extends AbstractChannelSupplier<ByteBuf> {
+  private final ChannelSupplier<ByteBuf> stream;
+  private final CallerConnection connection;
+
+  AnswerBodyStream(ChannelSupplier<ByteBuf> stream, CallerConnection connection) {
+    super(stream);
+    this.stream = stream;
+    this.connection = connection;
+  }
+
+  @Override
+  protected Promise<ByteBuf> doGet() {
+    connection.setWaitsForCaller(false);
+    return stream.get().whenResult(() -> connection.setWaitsForCaller(true));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointClient.java
@@ -0,0 +1,94 @@
+package org.mustardstage.entry.traffic;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import java.io.IOException;
+import org.mustardstage.core.manifest.Endpoint;
+
+/** Asks endpoints about requests and connections that are in doubt. It runs no request. */
+final class EndpointClient {
+  private static final int MAX_ANSWER_BYTES = 4 << 10;
+  private static final int OK = 200;
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final TrafficThread thread;
+
+  EndpointClient(TrafficThread thread) {
+    this.thread = thread;
+  }
+
+  /** Asks for a cancel; the promise never fails. */
+  Promise<CancelState> cancel(Endpoint endpoint, String requestId) {
+    String url = "http://" + endpoint.address() + "/-/cancel?request=" + requestId;
+    return ask(endpoint, HttpRequest.post(url).withBody(new byte[0]).build())
+        .map(EndpointClient::parse)
+        .then((state, e) -> Promise.of(e == null ? state : CancelState.NO_ANSWER));
+  }
+
+  /** Probes {@code connection}; the promise never fails. A silent connection is closed. */
+  Promise<ProbeResult> probe(EndpointConnection connection, Endpoint endpoint) {
+    HttpRequest probe = HttpRequest.get("http://" + endpoint.address() + "/-/load").build();
+    return ask(connection, probe)
+        .then(
+            (body, e) -> {
+              if (e == null) {
+                return Promise.of(ProbeResult.ANSWERED);
+              }
+              boolean silent = e instanceof SilentException;
+              return Promise.of(silent ? ProbeResult.SILENT : ProbeResult.CLOSED);
+            });
+  }
+
+  private Promise<byte[]> ask(Endpoint endpoint, HttpRequest request) {
+    EndpointConnection connection = thread.connectionsTo(endpoint).createOutsidePool();
+    return ask(connection, request).whenComplete(() -> thread.reactor().post(connection::close));
+  }
+
+  private Promise<byte[]> ask(EndpointConnection connection, HttpRequest request) {
+    SettablePromise<byte[]> answer = new SettablePromise<>();
+    ScheduledRunnable timeout =
+        thread
+            .reactor()
+            .delay(
+                thread.limits().cancelTimeoutMillis(),
+                () -> {
+                  answer.trySetException(new SilentException());
+                  connection.close();
+                });
+    connection
+        .send(request, () -> true)
+        .then(
+            response ->
+                response
+                    .loadBody(MAX_ANSWER_BYTES)
+                    .map(body -> response.getCode() == OK ? body.getArray() : new byte[0]))
+        .subscribe(
+            (bytes, e) -> {
+              timeout.cancel();
+              answer.trySet(bytes, e);
+            });
+    return answer;
+  }
+
+  private static CancelState parse(byte[] body) {
+    try {
+      JsonNode state = JSON.readTree(body).path("state");
+      return CancelState.of(state.asText());
+    } catch (IOException e) {
+      return CancelState.NO_ANSWER;
+    }
+  }
+
+  /** No answer came in time. */
+  private static final class SilentException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    SilentException() {
+      super("no answer in time", null, false, false);
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnection.java
@@ -0,0 +1,197 @@
+package org.mustardstage.entry.traffic;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.common.inspector.AbstractInspector;
+import io.activej.dns.protocol.DnsResponse;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpClientConnection;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.MalformedHttpException;
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One connection to an endpoint, which carries one request at a time. A connection whose answer was
+ * given up is closed and never carries another request, so a late answer reaches nobody.
+ */
+final class EndpointConnection {
+  private static final Duration MANAGED_BY_POOL = Duration.ofHours(1);
+
+  private final NioReactor reactor;
+  private final HttpClient client;
+  private final Runnable onFree;
+  private final long createdNanos = System.nanoTime();
+  private BooleanSupplier maySend = () -> false;
+  private @Nullable TcpSocket socket;
+  private boolean closed;
+  private boolean byteSent;
+  private boolean connected;
+  private long lastReadNanos = createdNanos;
+
+  /**
+   * Creates a connection, which is made when its first request is sent.
+   *
+   * @param onFree runs when a whole answer was read and the connection may carry another request,
+   *     and when the connection has closed
+   */
+  EndpointConnection(
+      NioReactor reactor, InetSocketAddress address, long connectTimeoutMillis, Runnable onFree) {
+    this.reactor = reactor;
+    this.onFree = onFree;
+    SocketInspector socketInspector = new SocketInspector();
+    client =
+        HttpClient.builder(reactor, new FixedAddressDns(address.getAddress()))
+            .withKeepAliveTimeout(MANAGED_BY_POOL)
+            .withConnectTimeout(Duration.ofMillis(connectTimeoutMillis))
+            .withSocketInspector(socketInspector)
+            .withSocketSslInspector(socketInspector)
+            .withInspector(new ClientInspector())
+            .build();
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param maySend asked right before the first byte is sent; if it says no, nothing is sent
+   */
+  Promise<HttpResponse> send(HttpRequest request, BooleanSupplier maySend) {
+    this.maySend = maySend;
+    byteSent = false;
+    connected = isOpen();
+    if (connected && !maySend.getAsBoolean()) {
+      close();
+    }
+    return client.request(request);
+  }
+
+  /** Closes the connection; what it still carries is given up. */
+  void close() {
+    closed = true;
+    if (socket != null) {
+      socket.close();
+    }
+  }
+
+  /** Returns whether the connection was made and is not closed. */
+  boolean isOpen() {
+    return !closed && socket != null && !socket.isClosed();
+  }
+
+  /** Returns whether the connection is open and carries no request. */
+  boolean isIdle() {
+    return isOpen() && client.getConnectionsKeepAliveCount() == 1;
+  }
+
+  /** Returns whether the connection was made for, or before, the last request. */
+  boolean wasConnected() {
+    return connected;
+  }
+
+  /** Returns whether any byte of the last request was sent. */
+  boolean hasSentByte() {
+    return byteSent;
+  }
+
+  /** Returns when the last byte was read, or the connection was created. */
+  long lastReadNanos() {
+    return lastReadNanos;
+  }
+
+  /** Returns when the connection was created. */
+  long createdNanos() {
+    return createdNanos;
+  }
+
+  private final class SocketInspector extends AbstractInspector<TcpSocket.Inspector>
+      implements TcpSocket.Inspector {
+    @Override
+    public void onConnect(TcpSocket made) {
+      socket = made;
+      connected = true;
+      if (closed || !maySend.getAsBoolean()) {
+        closed = true;
+        made.close();
+      }
+    }
+
+    @Override
+    public void onWrite(TcpSocket socket, ByteBuf buf, int bytes) {
+      byteSent |= bytes > 0;
+    }
+
+    @Override
+    public void onRead(TcpSocket socket, ByteBuf buf) {
+      lastReadNanos = System.nanoTime();
+    }
+
+    @Override
+    public void onReadTimeout(TcpSocket socket) {}
+
+    @Override
+    public void onReadEndOfStream(TcpSocket socket) {}
+
+    @Override
+    public void onReadError(TcpSocket socket, IOException e) {}
+
+    @Override
+    public void onWriteTimeout(TcpSocket socket) {}
+
+    @Override
+    public void onWriteError(TcpSocket socket, IOException e) {}
+
+    @Override
+    public void onDisconnect(TcpSocket socket) {
+      closed = true;
+      reactor.post(onFree);
+    }
+  }
+
+  private final class ClientInspector extends AbstractInspector<HttpClient.Inspector>
+      implements HttpClient.Inspector {
+    @Override
+    public void onRequestComplete(HttpResponse response, HttpClientConnection connection) {
+      reactor.post(onFree);
+    }
+
+    @Override
+    public void onConnectError(HttpRequest request, InetSocketAddress address, Exception e) {
+      closed = true;
+      reactor.post(onFree);
+    }
+
+    @Override
+    public void onRequest(HttpRequest request) {}
+
+    @Override
+    public void onResolve(HttpRequest request, DnsResponse dnsResponse) {}
+
+    @Override
+    public void onResolveError(HttpRequest request, Exception e) {}
+
+    @Override
+    public void onConnecting(HttpRequest request, InetSocketAddress address) {}
+
+    @Override
+    public void onConnect(HttpRequest request, HttpClientConnection connection) {}
+
+    @Override
+    public void onHttpResponse(HttpResponse response) {}
+
+    @Override
+    public void onHttpError(HttpClientConnection connection, Exception e) {}
+
+    @Override
+    public void onMalformedHttpResponse(
+        HttpClientConnection connection, MalformedHttpException e, byte[] malformedBytes) {}
+
+    @Override
+    public void onDisconnect(HttpClientConnection connection) {}
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/FixedAddressDns.java
@@ -0,0 +1,29 @@
+package org.mustardstage.entry.traffic;
+
+import io.activej.dns.IDnsClient;
+import io.activej.dns.protocol.DnsQuery;
+import io.activej.dns.protocol.DnsResourceRecord;
+import io.activej.dns.protocol.DnsResponse;
+import io.activej.dns.protocol.DnsTransaction;
+import io.activej.promise.Promise;
+import java.net.InetAddress;
+
+/** Resolves each name to one address, as endpoints are named by IP numbers. */
+final class FixedAddressDns implements IDnsClient {
+  private final Promise<DnsResponse> answer;
+
+  FixedAddressDns(InetAddress address) {
+    DnsQuery query = DnsQuery.ipv4(address.getHostAddress());
+    DnsResourceRecord resourceRecord =
+        DnsResourceRecord.of(new InetAddress[] {address}, Integer.MAX_VALUE);
+    answer = Promise.of(DnsResponse.of(DnsTransaction.of((short) 0, query), resourceRecord));
+  }
+
+  @Override
+  public Promise<DnsResponse> resolve(DnsQuery query) {
+    return answer;
+  }
+
+  @Override
+  public void close() {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/RequestHead.java
@@ -0,0 +1,128 @@
+package org.mustardstage.entry.traffic;
+
+import com.google.common.primitives.Longs;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.manifest.Call;
+import org.mustardstage.core.manifest.Manifest;
+import org.mustardstage.core.manifest.Service;
+import org.mustardstage.core.outcome.BadRequest;
+import org.mustardstage.core.outcome.IdempotencyKey;
+import org.mustardstage.core.outcome.NotRunCause;
+import org.mustardstage.core.overload.RefusalReason;
+
+/**
+ * The head of a request that is carried to an endpoint, checked.
+ *
+ * @param service the service
+ * @param call the kind of call
+ * @param key the idempotency key
+ * @param deadlineNanos when the caller stops waiting
+ * @param statedBytes the length of the body, if stated
+ */
+record RequestHead(
+    ServiceName service,
+    Call call,
+    Optional<IdempotencyKey> key,
+    long deadlineNanos,
+    OptionalLong statedBytes) {
+  private static final String CHUNKED = "chunked";
+
+  /** Returns the head of {@code request}, or what is wrong with it. */
+  static Either<NotRunCause, RequestHead> read(
+      HttpRequest request, Optional<Manifest> manifest, long maxBodyBytes) {
+    return checkFraming(request, maxBodyBytes)
+        .flatMap(statedBytes -> read(request, manifest, statedBytes));
+  }
+
+  /** Returns whether {@code header} of a caller's request is passed on to the endpoint. */
+  static boolean isPassedOn(HttpHeader header, boolean unzipped) {
+    if (header.equals(HttpHeaders.CONTENT_ENCODING)) {
+      return !unzipped;
+    }
+    return !Headers.isHopByHop(header) && !Headers.isSetByEntry(header);
+  }
+
+  private static Either<NotRunCause, RequestHead> read(
+      HttpRequest request, Optional<Manifest> manifest, OptionalLong statedBytes) {
+    if (manifest.isEmpty()) {
+      return Either.left(NotRunCause.refusedBy(RefusalReason.NO_MANIFEST));
+    }
+    return findService(request, manifest.get())
+        .flatMap(
+            service ->
+                findCall(request, service)
+                    .flatMap(call -> read(request, service.name(), call, statedBytes)));
+  }
+
+  private static Either<NotRunCause, RequestHead> read(
+      HttpRequest request, ServiceName service, Call call, OptionalLong statedBytes) {
+    return readKey(request)
+        .flatMap(
+            key ->
+                readDeadline(request, call)
+                    .map(deadline -> new RequestHead(service, call, key, deadline, statedBytes)));
+  }
+
+  private static Either<NotRunCause, OptionalLong> checkFraming(HttpRequest request, long max) {
+    HttpMethod method = request.getMethod();
+    if (method == HttpMethod.HEAD || method == HttpMethod.CONNECT || method == HttpMethod.TRACE) {
+      return Either.left(BadRequest.METHOD_NOT_CARRIED);
+    }
+    String encoding = request.getHeader(HttpHeaders.TRANSFER_ENCODING);
+    int lengths = ContentLengths.count(request);
+    boolean otherEncoding = encoding != null && !encoding.trim().equalsIgnoreCase(CHUNKED);
+    if (otherEncoding || lengths > 1 || (lengths == 1 && encoding != null)) {
+      return Either.left(BadRequest.MALFORMED_REQUEST);
+    }
+    OptionalLong stated = ContentLengths.of(request);
+    if (lengths == 1 && stated.isEmpty()) {
+      return Either.left(BadRequest.MALFORMED_REQUEST);
+    }
+    return stated.orElse(0) > max ? Either.left(BadRequest.BODY_TOO_LARGE) : Either.right(stated);
+  }
+
+  private static Either<NotRunCause, Service> findService(HttpRequest request, Manifest manifest) {
+    String name = request.getHeader(Headers.SERVICE);
+    if (name == null) {
+      return Either.left(BadRequest.NO_SERVICE);
+    }
+    return manifest.services().stream()
+        .filter(service -> service.name().value().equals(name))
+        .findFirst()
+        .<Either<NotRunCause, Service>>map(Either::right)
+        .orElse(Either.left(NotRunCause.refusedBy(RefusalReason.UNKNOWN_SERVICE)));
+  }
+
+  private static Either<NotRunCause, Call> findCall(HttpRequest request, Service service) {
+    return service
+        .findCall(request.getMethod().name(), request.getPath())
+        .<Either<NotRunCause, Call>>map(Either::right)
+        .orElse(Either.left(NotRunCause.refusedBy(RefusalReason.UNKNOWN_CALL)));
+  }
+
+  private static Either<NotRunCause, Optional<IdempotencyKey>> readKey(HttpRequest request) {
+    String text = request.getHeader(Headers.IDEMPOTENCY_KEY);
+    if (text == null) {
+      return Either.right(Optional.empty());
+    }
+    return IdempotencyKey.parse(text).<NotRunCause>mapLeft(cause -> cause).map(Optional::of);
+  }
+
+  private static Either<NotRunCause, Long> readDeadline(HttpRequest request, Call call) {
+    String text = request.getHeader(Headers.DEADLINE_MILLIS);
+    Long askedMillis = text == null ? Long.valueOf(call.deadlineMillis()) : Longs.tryParse(text);
+    if (askedMillis == null || askedMillis <= 0) {
+      return Either.left(BadRequest.MALFORMED_DEADLINE);
+    }
+    long millis = Math.min(askedMillis, call.deadlineMillis());
+    return Either.right(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/TrafficServer.java
@@ -0,0 +1,96 @@
+package org.mustardstage.entry.traffic;
+
+import com.google.common.collect.ImmutableList;
+import io.activej.net.PrimaryServer;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.entry.control.Admission;
+import org.mustardstage.entry.control.Snapshot;
+
+/** The service that takes requests of callers, answers look-ups and carries the rest. */
+public final class TrafficServer {
+  private final TrafficSettings settings;
+  private final AtomicInteger openConnections = new AtomicInteger();
+  private final ImmutableList<TrafficThread> threads;
+  private final PrimaryServer acceptor;
+
+  /**
+   * Creates a server that is not started.
+   *
+   * @param snapshot what the control thread published last
+   * @param admission asked for leave to send each request
+   * @param lookup answers look-ups
+   * @param keys finds the homes of idempotency keys
+   */
+  public TrafficServer(
+      TrafficSettings settings,
+      Supplier<Snapshot> snapshot,
+      Admission admission,
+      LookupHandler lookup,
+      KeyRouter keys) {
+    this.settings = settings;
+    KeyHome keyHome = new KeyHome(settings.limits());
+    List<TrafficThread> created = new ArrayList<>();
+    for (int i = 0; i < settings.trafficThreads(); i++) {
+      created.add(
+          new TrafficThread(
+              i, settings, snapshot, admission, lookup, keys, keyHome, openConnections));
+    }
+    this.threads = ImmutableList.copyOf(created);
+    this.acceptor = buildAcceptor();
+  }
+
+  /**
+   * Starts to listen. It returns when callers can connect.
+   *
+   * @throws IOException if the address can't be listened on
+   */
+  public void start() throws IOException {
+    threads.forEach(TrafficThread::start);
+    try {
+      threads.forEach(thread -> thread.reactor().submit(thread.server()::listen).join());
+      threads.get(0).reactor().submit(acceptor::listen).join();
+    } catch (CompletionException e) {
+      threads.forEach(thread -> thread.reactor().submit(thread::close).join());
+      throw new IOException("can't listen on " + settings.listenAddress(), e.getCause());
+    }
+  }
+
+  /**
+   * Stops gracefully. New requests are refused as not run, requests that run go on to their end,
+   * then all connections are closed. It returns when that is done.
+   */
+  public void stop() {
+    onEachThread(TrafficThread::drain);
+    threads.get(0).reactor().submit(() -> acceptor.close().toVoid()).join();
+    onEachThread(TrafficThread::close);
+  }
+
+  private void onEachThread(Function<TrafficThread, Promise<Void>> action) {
+    List<CompletableFuture<Void>> ends = new ArrayList<>();
+    for (TrafficThread thread : threads) {
+      ends.add(thread.reactor().submit(() -> action.apply(thread)));
+    }
+    ends.forEach(CompletableFuture::join);
+  }
+
+  private PrimaryServer buildAcceptor() {
+    HostAndPort address = settings.listenAddress();
+    return PrimaryServer.builder(
+            threads.get(0).reactor(), threads.stream().map(TrafficThread::server).toList())
+        .withListenAddress(new InetSocketAddress(address.host(), address.port()))
+        .withAcceptFilter(
+            (channel, local, remote, ssl) ->
+                openConnections.get() >= settings.maxCallerConnections())
+        .build();
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/mustardstage/entry/traffic/FakeEndpoint.java
@@ -0,0 +1,205 @@
+package org.mustardstage.entry.traffic;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.Endpoint;
+import org.mustardstage.core.manifest.HostAndPort;
+
+/** A back end on a loopback socket that answers as its script says. */
+final class FakeEndpoint implements AutoCloseable {
+  private static final int SLOTS = 9;
+  private static final int CONNECTIONS = 700;
+
+  /** What the endpoint does with a request that it read whole. */
+  interface Script {
+    void answer(Received request, Exchange exchange) throws IOException;
+  }
+
+  /** A request as it came in. */
+  record Received(String line, Map<String, String> headers, String body, int connection) {
+    String header(String name) {
+      return headers.get(name.toLowerCase(Locale.ROOT));
+    }
+  }
+
+  private final String name;
+  private final ServerSocket server;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final List<Received> received = new CopyOnWriteArrayList<>();
+  private final List<String> cancels = new CopyOnWriteArrayList<>();
+  private volatile Script script = (request, exchange) -> exchange.ok("done");
+  private volatile String cancelState = "cancelled";
+  private volatile int silentUpToConnection = -1;
+  private final AtomicInteger connectionCount = new AtomicInteger();
+
+  FakeEndpoint(String name) throws IOException {
+    this.name = name;
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    Thread.ofVirtual().start(this::accept);
+  }
+
+  void script(Script next) {
+    script = next;
+  }
+
+  void cancelState(String state) {
+    cancelState = state;
+  }
+
+  /** Makes all connections made so far read and never answer. */
+  void silenceOpenConnections() {
+    silentUpToConnection = connectionCount.get();
+  }
+
+  List<Received> received() {
+    return received;
+  }
+
+  List<String> cancels() {
+    return cancels;
+  }
+
+  Endpoint endpoint() {
+    return new Endpoint(
+        new EndpointId(name),
+        new ZoneId("zone-a"),
+        new HostAndPort("127.0.0.1", server.getLocalPort()),
+        SLOTS,
+        CONNECTIONS);
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        sockets.add(socket);
+        int number = connectionCount.incrementAndGet();
+        Thread.ofVirtual().start(() -> serve(socket, number));
+      }
+    } catch (IOException e) {
+      // the endpoint was closed
+    }
+  }
+
+  private void serve(Socket socket, int number) {
+    try (socket) {
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      Exchange exchange = new Exchange(socket);
+      while (!socket.isClosed()) {
+        Received request = read(in, number);
+        if (number > silentUpToConnection) {
+          dispatch(request, exchange);
+        }
+      }
+    } catch (IOException e) {
+      // the other side left
+    }
+  }
+
+  private void dispatch(Received request, Exchange exchange) throws IOException {
+    if (request.line().startsWith("POST /-/cancel")) {
+      cancels.add(request.line());
+      exchange.ok("{\"state\":\"" + cancelState + "\"}");
+      return;
+    }
+    if (request.line().startsWith("GET /-/load")) {
+      exchange.ok("{\"slotsInUse\":0}");
+      return;
+    }
+    received.add(request);
+    script.answer(request, exchange);
+  }
+
+  private static Received read(InputStream in, int connection) throws IOException {
+    String line = readLine(in);
+    Map<String, String> headers = new TreeMap<>();
+    for (String h = readLine(in); !h.isEmpty(); h = readLine(in)) {
+      int colon = h.indexOf(':');
+      headers.put(h.substring(0, colon).toLowerCase(Locale.ROOT), h.substring(colon + 1).trim());
+    }
+    return new Received(line, headers, readBody(in, headers), connection);
+  }
+
+  private static String readBody(InputStream in, Map<String, String> headers) throws IOException {
+    if (!headers.containsKey("transfer-encoding")) {
+      int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+      return new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    }
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    int length;
+    do {
+      length = Integer.parseInt(readLine(in), 16);
+      body.write(in.readNBytes(length));
+      readLine(in);
+    } while (length > 0);
+    return body.toString(StandardCharsets.UTF_8);
+  }
+
+  private static String readLine(InputStream in) throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    for (int b = in.read(); b != '\n'; b = in.read()) {
+      if (b < 0) {
+        throw new IOException("end of stream");
+      }
+      if (b != '\r') {
+        line.write(b);
+      }
+    }
+    return line.toString(StandardCharsets.UTF_8);
+  }
+
+  /** The answering side of one connection. */
+  static final class Exchange {
+    private final Socket socket;
+
+    Exchange(Socket socket) {
+      this.socket = socket;
+    }
+
+    void ok(String body) throws IOException {
+      raw("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    void refuse(String reason) throws IOException {
+      raw(
+          "HTTP/1.1 503 Refused\r\nMustardstage-Refused: "
+              + reason
+              + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    void raw(String text) throws IOException {
+      OutputStream out = socket.getOutputStream();
+      out.write(text.getBytes(StandardCharsets.UTF_8));
+      out.flush();
+    }
+
+    void hangUp() throws IOException {
+      socket.close();
+    }
+  }
+}
