--- a/entry/src/main/java/org/mustardstage/entry/EntryProcess.java
+++ b/entry/src/main/java/org/mustardstage/entry/EntryProcess.java
@@ -51,8 +51,8 @@
   }
 
   /**
-   * Stops gracefully: leaves the look-up answers, serves on for their lifetime, lets running requests
-   * end, hands over permits and ownerships, then ends.
+   * Stops gracefully: leaves the look-up answers, serves on for their lifetime, lets running
+   * requests end, hands over permits and ownerships, then ends.
    */
   public void stop() {
     EventLog.log(Event.STOP_BEGAN, "vm", control.snapshot().self());
--- a/entry/src/main/java/org/mustardstage/entry/control/AdminServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/AdminServer.java
@@ -147,8 +147,7 @@
         .map(
             read ->
                 read.fold(
-                    failure ->
-                        problem(UNAVAILABLE, "platform-unavailable", failure.toString()),
+                    failure -> problem(UNAVAILABLE, "platform-unavailable", failure.toString()),
                     rows -> json(OK, auditJson(rows, limit))));
   }
 
@@ -193,8 +192,7 @@
   private static HttpResponse toResponse(SubmissionEnd end) {
     return switch (end) {
       case SubmissionEnd.Accepted accepted ->
-          json(
-              OK, MAPPER.createObjectNode().put("version", accepted.version().number()));
+          json(OK, MAPPER.createObjectNode().put("version", accepted.version().number()));
       case SubmissionEnd.Conflict conflict ->
           json(
               CONFLICT,
--- a/entry/src/main/java/org/mustardstage/entry/control/Admissions.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/Admissions.java
@@ -137,8 +137,7 @@
 
   private ServiceAdmission serviceAdmission(ServiceName service) {
     return services.computeIfAbsent(
-        service,
-        name -> new ServiceAdmission(permits, clock, this::newId, usable(name), random));
+        service, name -> new ServiceAdmission(permits, clock, this::newId, usable(name), random));
   }
 
   private long newId() {
--- a/entry/src/main/java/org/mustardstage/entry/control/ConfigService.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ConfigService.java
@@ -65,7 +65,7 @@
 
   /** Returns whether the object under {@code hash} belongs to the manifest in force. */
   boolean isStored(String hash) {
-    return tracker.inForce() != ConfigHead.NONE && cache.get(hash).isPresent();
+    return tracker.inForce().version().number() > 0 && cache.get(hash).isPresent();
   }
 
   /** Reads the head when it is due. */
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlMetrics.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlMetrics.java
@@ -45,8 +45,7 @@
   private List<MetricSnapshot> snapshots() {
     PermitStatus permits = control.permits().status();
     LinkStats links = control.linkStats();
-    long alive =
-        control.memberView().statuses().stream().filter(MemberStatus::isAlive).count();
+    long alive = control.memberView().statuses().stream().filter(MemberStatus::isAlive).count();
     return List.of(
         gauge("mustardstage_config_version", "Version of the manifest in force.", version()),
         gauge("mustardstage_members_alive", "Entry VMs believed alive.", alive),
@@ -83,18 +82,22 @@
             ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed()));
   }
 
-  private double version() {
+  private long version() {
     return control.snapshot().version().number();
   }
 
-  private static GaugeSnapshot gauge(String name, String help, double value) {
+  private static GaugeSnapshot gauge(String name, String help, long value) {
     return GaugeSnapshot.builder()
         .name(name)
         .help(help)
-        .dataPoint(GaugeSnapshot.GaugeDataPointSnapshot.builder().value(value).build())
+        .dataPoint(GaugeSnapshot.GaugeDataPointSnapshot.builder().value((double) value).build())
         .build();
   }
 
+  private static CounterSnapshot counter(String name, String help, long value) {
+    return counter(name, help, (double) value);
+  }
+
   private static CounterSnapshot counter(String name, String help, double value) {
     return CounterSnapshot.builder()
         .name(name)
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -320,12 +320,11 @@
   }
 
   /**
-   * Stops gracefully: tells the other VMs, leaves the look-up answers, serves on for the lifetime of
-   * the answers, and refuses new requests after that. It returns when requests may be refused.
+   * Stops gracefully: tells the other VMs, leaves the look-up answers, serves on for the lifetime
+   * of the answers, and refuses new requests after that. It returns when requests may be refused.
    */
   public void leave() {
-    long lifetimeMillis =
-        snapshot.get().manifest().map(Manifest::answerLifetimeMillis).orElse(0L);
+    long lifetimeMillis = snapshot.get().manifest().map(Manifest::answerLifetimeMillis).orElse(0L);
     CompletableFuture<Void> left = new CompletableFuture<>();
     eventloop.execute(
         () -> {
@@ -444,8 +443,7 @@
       SettablePromise<AdmissionDecision> promise = new SettablePromise<>();
       eventloop.execute(
           () ->
-              admissions.admit(
-                  request, decision -> traffic.execute(() -> promise.set(decision))));
+              admissions.admit(request, decision -> traffic.execute(() -> promise.set(decision))));
       return promise;
     }
 
--- a/entry/src/main/java/org/mustardstage/entry/control/ObjectCache.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ObjectCache.java
@@ -15,8 +15,8 @@
 import org.mustardstage.schema.ManifestParts;
 
 /**
- * Keeps the objects of the manifest in force and of the one being fetched, to put manifests together
- * and to hand objects to other VMs. Used on the control thread only.
+ * Keeps the objects of the manifest in force and of the one being fetched, to put manifests
+ * together and to hand objects to other VMs. Used on the control thread only.
  */
 final class ObjectCache implements ConfigObjects {
   private final ManifestAssembler assembler = new ManifestAssembler();
--- a/entry/src/main/java/org/mustardstage/entry/control/PermitDriver.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/PermitDriver.java
@@ -64,8 +64,7 @@
     void send(VmIncarnation to, PermitMessage message);
   }
 
-  PermitDriver(
-      PermitAgent agent, TableService table, LongSupplier clock, ZoneId zone, Host host) {
+  PermitDriver(PermitAgent agent, TableService table, LongSupplier clock, ZoneId zone, Host host) {
     this.agent = agent;
     this.table = table;
     this.clock = clock;
@@ -84,8 +83,7 @@
   }
 
   void onMembers(MemberView view) {
-    List<ZoneMember> members =
-        view.statuses().stream().map(PermitDriver::toZoneMember).toList();
+    List<ZoneMember> members = view.statuses().stream().map(PermitDriver::toZoneMember).toList();
     run(agent.onMembers(clock.getAsLong(), members));
   }
 
@@ -196,9 +194,7 @@
   }
 
   private void readOwnership(ZoneId zoneToRead) {
-    table
-        .read(Rows.ownershipKey(zoneToRead))
-        .whenResult(read -> onOwnershipRead(zoneToRead, read));
+    table.read(Rows.ownershipKey(zoneToRead)).whenResult(read -> onOwnershipRead(zoneToRead, read));
   }
 
   private void onOwnershipRead(ZoneId zoneRead, Either<PlatformFailure, Optional<Row>> read) {
--- a/entry/src/main/java/org/mustardstage/entry/control/Rows.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/Rows.java
@@ -57,8 +57,7 @@
         .map(
             node ->
                 new ConfigHead(
-                    new ConfigVersion(node.path("version").asLong()),
-                    node.path("hash").asText()));
+                    new ConfigVersion(node.path("version").asLong()), node.path("hash").asText()));
   }
 
   static Optional<ConfigVersion> toVersion(Row row) {
@@ -88,8 +87,7 @@
     List<VmIncarnation> owners = new ArrayList<>();
     for (JsonNode owner : array) {
       owners.add(
-          new VmIncarnation(
-              new VmId(owner.path("vm").asText()), owner.path("number").asLong()));
+          new VmIncarnation(new VmId(owner.path("vm").asText()), owner.path("number").asLong()));
     }
     return ImmutableList.copyOf(owners);
   }
--- a/entry/src/main/java/org/mustardstage/entry/control/ServiceAdmission.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ServiceAdmission.java
@@ -83,8 +83,7 @@
     }
     retryBudget.recordFirstAttempt();
     long id = ids.getAsLong();
-    Waiting waiting =
-        new Waiting(id, request.call().priority(), nowNanos, request.deadlineNanos());
+    Waiting waiting = new Waiting(id, request.call().priority(), nowNanos, request.deadlineNanos());
     pending.put(id, new Pending(request, waiting, callback));
     switch (queue.offer(nowNanos, waiting)) {
       case OfferResult.Queued queued -> queued.displaced().forEach(this::refuse);
@@ -196,8 +195,7 @@
     }
     PollResult polled = queue.poll(clock.getAsLong());
     polled.expired().forEach(this::refuse);
-    Optional<Pending> next =
-        polled.next().map(waiting -> pending.remove(waiting.requestId()));
+    Optional<Pending> next = polled.next().map(waiting -> pending.remove(waiting.requestId()));
     if (next.isEmpty()) {
       permits.release(useId, /* slotIsFree= */ true);
       return;
--- a/entry/src/main/java/org/mustardstage/entry/control/StateCheck.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/StateCheck.java
@@ -31,11 +31,8 @@
             .add(status.member().vm());
       }
     }
-    DrainSituation situation =
-        new DrainSituation(ImmutableSet.of(), ImmutableMap.of(), entryVms);
-    return DrainCapacityCheck.check(manifest, situation).stream()
-        .map(StateCheck::toText)
-        .toList();
+    DrainSituation situation = new DrainSituation(ImmutableSet.of(), ImmutableMap.of(), entryVms);
+    return DrainCapacityCheck.check(manifest, situation).stream().map(StateCheck::toText).toList();
   }
 
   private static SubmissionEnd.ProblemText toText(DrainProblem problem) {
--- a/entry/src/main/java/org/mustardstage/entry/control/StatusReport.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/StatusReport.java
@@ -81,8 +81,7 @@
   }
 
   private static void addEndpoints(ArrayNode array, ControlThread control) {
-    List<Service> services =
-        control.manifest().map(Manifest::services).orElse(List.of());
+    List<Service> services = control.manifest().map(Manifest::services).orElse(List.of());
     for (Service service : services) {
       for (Endpoint endpoint : service.endpoints()) {
         ObjectNode node = array.addObject();
--- a/entry/src/main/java/org/mustardstage/entry/control/SubmissionService.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/SubmissionService.java
@@ -30,9 +30,9 @@
 import org.mustardstage.schema.ManifestReader;
 
 /**
- * Takes submissions: checks the whole manifest, stores its parts, and moves the head from one version
- * to the next in a single transaction that also writes the audit row and the submission row. Used on
- * the control thread only.
+ * Takes submissions: checks the whole manifest, stores its parts, and moves the head from one
+ * version to the next in a single transaction that also writes the audit row and the submission
+ * row. Used on the control thread only.
  */
 final class SubmissionService {
   private static final int SETTLE_TRIES = 4;
@@ -84,8 +84,7 @@
         .flatMap(this::checkAgainstState);
   }
 
-  private static SubmissionEnd.ProblemText toText(
-      ManifestProblem problem) {
+  private static SubmissionEnd.ProblemText toText(ManifestProblem problem) {
     return new SubmissionEnd.ProblemText(
         problem.getClass().getSimpleName(), problem.path(), problem.description());
   }
@@ -148,8 +147,7 @@
         .map(ends -> ends.stream().filter(Either::isLeft).map(Either::getLeft).findFirst());
   }
 
-  private Promise<SubmissionEnd> commit(
-      Submission submission, ConfigHead head, long headRevision) {
+  private Promise<SubmissionEnd> commit(Submission submission, ConfigHead head, long headRevision) {
     return table
         .commit(transaction(submission, head, headRevision))
         .then(
@@ -236,9 +234,7 @@
 
   private static void log(Submission submission, SubmissionEnd end) {
     Event event =
-        end instanceof SubmissionEnd.Accepted
-            ? Event.MANIFEST_ACCEPTED
-            : Event.SUBMISSION_REFUSED;
+        end instanceof SubmissionEnd.Accepted ? Event.MANIFEST_ACCEPTED : Event.SUBMISSION_REFUSED;
     EventLog.log(event, "submission", submission.id(), "by", submission.submitter(), "end", end);
   }
 }
