--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/route/PlaceAllowance.java
@@ -0,0 +1,48 @@
+package org.mustardstage.core.route;
+
+/** What one entry VM may send to one region: a share of its requests and a rate. */
+final class PlaceAllowance {
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final double BURST_SECONDS = 0.1;
+
+  private final double maxShare;
+  private final double perNano;
+  private final double maxTokens;
+  private long firstAttempts;
+  private long sent;
+  private double tokens;
+  private long updatedNanos;
+
+  PlaceAllowance(long nowNanos, double maxShare, double perSecond) {
+    this.maxShare = maxShare;
+    this.perNano = perSecond / NANOS_PER_SECOND;
+    this.maxTokens = Math.max(1, perSecond * BURST_SECONDS);
+    this.tokens = maxTokens;
+    this.updatedNanos = nowNanos;
+  }
+
+  void recordFirstAttempt() {
+    firstAttempts++;
+  }
+
+  boolean hasRoom(long nowNanos) {
+    refill(nowNanos);
+    return sent < maxSent() && tokens >= 1;
+  }
+
+  void take(long nowNanos) {
+    refill(nowNanos);
+    sent++;
+    tokens--;
+  }
+
+  private double maxSent() {
+    return maxShare == 0 ? 0 : 1 + Math.floor(maxShare * firstAttempts);
+  }
+
+  private void refill(long nowNanos) {
+    long elapsedNanos = Math.max(0, nowNanos - updatedNanos);
+    tokens = Math.min(maxTokens, tokens + elapsedNanos * perNano);
+    updatedNanos = nowNanos;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/route/Proximity.java
@@ -0,0 +1,11 @@
+package org.mustardstage.core.route;
+
+/** How close an endpoint is to an entry VM, the closest first. */
+public enum Proximity {
+  /** In the same zone. */
+  OWN_ZONE,
+  /** In another zone of the same region. */
+  OWN_REGION,
+  /** In another region. */
+  OTHER_REGION
+}
