Choose endpoints by core.route and check moves at submission

Cause: the first admission took endpoints in turn. Change: RoutedCandidates drives EndpointRouter and PlaceLimits for each service; conflicting moves are refused at submit. Conclusion: routing decisions of core are in the real path.

--- a/entry/src/main/java/org/mustardstage/entry/control/Admissions.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/Admissions.java
@@ -127,6 +127,9 @@
       callback.accept(refused(RefusalReason.UNKNOWN_SERVICE));
       return;
     }
+    if (request.attempt() == 0) {
+      candidates.get(request.service()).onArrival();
+    }
     serviceAdmission(request.service())
         .admit(request, decision -> callback.accept(track(request, decision)));
   }
@@ -147,8 +150,8 @@
   private ServiceAdmission.Candidates usable(ServiceName service) {
     return new ServiceAdmission.Candidates() {
       @Override
-      public List<Endpoint> of(long nowNanos, AdmissionRequest request) {
-        return candidates.get(service).find(nowNanos, request);
+      public List<Endpoint> of(long nowNanos, AdmissionRequest request, long expectedWaitNanos) {
+        return candidates.get(service).find(nowNanos, request, expectedWaitNanos);
       }
 
       @Override
@@ -163,7 +166,7 @@
     if (decision instanceof AdmissionDecision.Admitted admitted) {
       EndpointId endpoint = admitted.endpoint().id();
       uses.put(admitted.useId(), new Use(request.service(), request, endpoint));
-      candidates.get(request.service()).onSent(endpoint);
+      candidates.get(request.service()).onSent(clock.getAsLong(), endpoint);
     }
     return decision;
   }
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -113,7 +113,12 @@
             permits,
             clock,
             random,
-            service -> new LocalFirstCandidates(self.zone(), self.region()));
+            service ->
+                new RoutedCandidates(self.zone(), self.region(), this::countSenders, random));
+  }
+
+  private int countSenders() {
+    return (int) memberView.get().statuses().stream().filter(s -> !s.provenGone()).count();
   }
 
   private HttpClient httpClient() {
--- a/entry/src/main/java/org/mustardstage/entry/control/ServiceAdmission.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ServiceAdmission.java
@@ -48,7 +48,7 @@
   /** Gives the endpoints that a request may be sent to. */
   interface Candidates {
     /** Returns endpoints in order of preference, none that is in {@code request}'s avoid set. */
-    List<Endpoint> of(long nowNanos, AdmissionRequest request);
+    List<Endpoint> of(long nowNanos, AdmissionRequest request, long expectedWaitNanos);
 
     /** Returns the endpoint that {@code limit} belongs to, unless it gets no new work. */
     Optional<Endpoint> findUsable(LimitId limit);
@@ -101,7 +101,7 @@
       callback.accept(refused(nowNanos, RefusalReason.RETRY_BUDGET_SPENT));
       return;
     }
-    List<Endpoint> endpoints = candidates.of(nowNanos, request);
+    List<Endpoint> endpoints = candidates.of(nowNanos, request, oldestWaitNanos(nowNanos));
     if (endpoints.isEmpty()) {
       callback.accept(refused(nowNanos, RefusalReason.NO_ENDPOINT));
       return;
@@ -154,7 +154,7 @@
   }
 
   private boolean acquireFor(long nowNanos, Pending next) {
-    List<Endpoint> endpoints = candidates.of(nowNanos, next.request());
+    List<Endpoint> endpoints = candidates.of(nowNanos, next.request(), oldestWaitNanos(nowNanos));
     if (endpoints.isEmpty()) {
       refuseAllWaiting(nowNanos);
       return false;
@@ -179,6 +179,11 @@
     return true;
   }
 
+  /** Returns how long the requests ahead have waited, the best guess of the wait to come. */
+  private long oldestWaitNanos(long nowNanos) {
+    return queue.peek(nowNanos).map(next -> nowNanos - next.arrivedNanos()).orElse(0L);
+  }
+
   private void refuseAllWaiting(long nowNanos) {
     for (Pending waiting : ImmutableList.copyOf(pending.values())) {
       queue.remove(waiting.waiting().priority(), waiting.waiting().requestId());
--- a/entry/src/main/java/org/mustardstage/entry/control/ServiceCandidates.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ServiceCandidates.java
@@ -15,11 +15,18 @@
   /** Takes over which endpoints get no new work. */
   void onLeaving(long nowNanos, Predicate<EndpointId> isLeaving);
 
-  /** Returns the endpoints that may take {@code request}, the preferred one first. */
-  List<Endpoint> find(long nowNanos, AdmissionRequest request);
+  /** Counts the first attempt of a request. */
+  void onArrival();
+
+  /**
+   * Returns the endpoints that may take {@code request}, the preferred one first.
+   *
+   * @param expectedWaitNanos how long it is expected to wait for an endpoint of the own region
+   */
+  List<Endpoint> find(long nowNanos, AdmissionRequest request, long expectedWaitNanos);
 
   /** Notes that a request is sent to {@code endpoint}. */
-  void onSent(EndpointId endpoint);
+  void onSent(long nowNanos, EndpointId endpoint);
 
   /** Notes how a request ended. */
   void onEnd(long nowNanos, EndpointId endpoint, UseEnd end);
--- a/entry/src/main/java/org/mustardstage/entry/control/StateCheck.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/StateCheck.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.mustardstage.core.drain.DrainCapacityCheck;
-import org.mustardstage.core.drain.DrainProblem;
 import org.mustardstage.core.drain.DrainSituation;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.ZoneId;
@@ -19,6 +18,7 @@
 /** Finds what the state of the system forbids of a manifest that is valid by itself. */
 final class StateCheck {
   private static final String DRAINS_PATH = "/drains";
+  private static final String MOVES_PATH = "/moves";
 
   private StateCheck() {}
 
@@ -32,11 +32,15 @@
       }
     }
     DrainSituation situation = new DrainSituation(ImmutableSet.of(), ImmutableMap.of(), entryVms);
-    return DrainCapacityCheck.check(manifest, situation).stream().map(StateCheck::toText).toList();
+    return Stream.concat(
+            DrainCapacityCheck.check(manifest, situation).stream()
+                .map(problem -> toText(DRAINS_PATH, problem)),
+            MoveConflicts.check(manifest).stream().map(problem -> toText(MOVES_PATH, problem)))
+        .toList();
   }
 
-  private static SubmissionEnd.ProblemText toText(DrainProblem problem) {
+  private static SubmissionEnd.ProblemText toText(String path, Object problem) {
     return new SubmissionEnd.ProblemText(
-        problem.getClass().getSimpleName(), DRAINS_PATH, problem.toString());
+        problem.getClass().getSimpleName(), path, problem.toString());
   }
 }
