--- a/entry/src/main/java/org/mustardstage/entry/control/StateCheck.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/StateCheck.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.mustardstage.core.drain.DrainCapacityCheck;
 import org.mustardstage.core.drain.DrainSituation;
 import org.mustardstage.core.id.VmId;
@@ -14,6 +15,7 @@
 import org.mustardstage.core.manifest.Manifest;
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
+import org.mustardstage.core.shift.MoveConflicts;
 
 /** Finds what the state of the system forbids of a manifest that is valid by itself. */
 final class StateCheck {
