Report silent regions through one speaking zone, and always name three VMs

Cause: the new tests of membership and look-ups found that (1) the VM that hears other regions was chosen over all VMs of the region and need not be a zone representative, so its report reached nobody; (2) a healed region stayed silent since heartbeats went to each candidate in turn; (3) under the load bound the last buckets got fewer VMs. Change: the representative of the first zone that is heard speaks for the region; while silent every other heartbeat goes to it; answers are filled up past the bound.

--- a/core/src/main/java/org/mustardstage/core/lookup/Assignment.java
+++ b/core/src/main/java/org/mustardstage/core/lookup/Assignment.java
@@ -61,13 +61,19 @@
     firstLoads[first]++;
     loads[first]++;
     chosen.add(first);
+    addFurther(chosen, order, perAnswer, loads, bound);
+    addFurther(chosen, order, perAnswer, loads, Integer.MAX_VALUE);
+    return chosen.stream().map(members::get).collect(ImmutableList.toImmutableList());
+  }
+
+  private static void addFurther(
+      List<Integer> chosen, Integer[] order, int perAnswer, int[] loads, int bound) {
     for (int i = 0; i < order.length && chosen.size() < perAnswer; i++) {
       if (loads[order[i]] < bound && !chosen.contains(order[i])) {
         loads[order[i]]++;
         chosen.add(order[i]);
       }
     }
-    return chosen.stream().map(members::get).collect(ImmutableList.toImmutableList());
   }
 
   private static int firstBelow(Integer[] order, int[] loads, int bound) {
--- a/core/src/main/java/org/mustardstage/core/member/Membership.java
+++ b/core/src/main/java/org/mustardstage/core/member/Membership.java
@@ -93,7 +93,7 @@
     peers
         .find(from.incarnation())
         .ifPresent(peer -> peer.hear(nowNanos, heartbeat.leaving(), heartbeat.version()));
-    if (representativeOf(nowNanos, self.zone()).filter(from::equals).isPresent()) {
+    if (reportsSilentZonesTo(nowNanos, from)) {
       silentZones.onReport(heartbeat.silentZones());
     }
     if (heartbeat.worldHash() != world.hash()) {
@@ -101,6 +101,20 @@
     }
   }
 
+  /** Returns whether {@code from} speaks for the own zone, or for the region to this zone. */
+  private boolean reportsSilentZonesTo(long nowNanos, Member from) {
+    if (from.zone().equals(self.zone())) {
+      return isSameVm(representativeOf(nowNanos), from);
+    }
+    return from.region().equals(self.region())
+        && isZoneRepresentative(nowNanos)
+        && from.zone().equals(speakingZone(nowNanos));
+  }
+
+  private static boolean isSameVm(Optional<Member> representative, Member member) {
+    return representative.filter(r -> r.vm().equals(member.vm())).isPresent();
+  }
+
   private void sendSummary(long nowNanos, Member to, List<MemberAction> actions) {
     Long sentNanos = summarySentNanos.get(to.vm());
     long minGapNanos = SUMMARY_PERIODS * peers.periodNanos();
@@ -176,20 +190,25 @@
     for (RegionId region : regions()) {
       if (!region.equals(self.region())) {
         boolean silent = silentZones.isRegionSilent(nowNanos, region);
-        contact(nowNanos, region.value(), candidatesOf(region), silent).ifPresent(targets::add);
+        contact(nowNanos, firstZone(region).value(), candidatesOf(region), silent)
+            .ifPresent(targets::add);
       }
     }
     return targets;
   }
 
-  /** Returns whom to send to: the representative, or while it is silent each candidate in turn. */
+  /**
+   * Returns whom to send to: the representative, but while it is silent every other time one of the
+   * candidates in turn, as another one may be the representative by now.
+   */
   private Optional<Member> contact(
-      long nowNanos, String group, List<Member> candidates, boolean silent) {
-    if (!silent || candidates.isEmpty()) {
-      return Representatives.choose(group, candidates);
+      long nowNanos, String zone, List<Member> candidates, boolean silent) {
+    long turn = nowNanos / settings.regionHeartbeatNanos();
+    if (silent && turn % 2 == 1 && !candidates.isEmpty()) {
+      return Optional.of(candidates.get((int) Math.floorMod(turn / 2, (long) candidates.size())));
     }
-    long turn = nowNanos / settings.zoneHeartbeatNanos();
-    return Optional.of(candidates.get((int) Math.floorMod(turn, (long) candidates.size())));
+    List<Member> inZone = candidates.stream().filter(m -> m.zone().value().equals(zone)).toList();
+    return Representatives.choose(zone, inZone.isEmpty() ? candidates : inZone);
   }
 
   private List<Member> candidatesOf(ZoneId zone) {
@@ -207,6 +226,10 @@
     return zonesOf(region).stream().flatMap(zone -> candidatesOf(zone).stream()).toList();
   }
 
+  private ZoneId firstZone(RegionId region) {
+    return zonesOf(region).first();
+  }
+
   private ImmutableSortedSet<ZoneId> zonesOf(RegionId region) {
     return knownElsewhere().stream()
         .filter(member -> member.region().equals(region))
@@ -237,24 +260,24 @@
     return alive;
   }
 
-  private Optional<Member> representativeOf(long nowNanos, ZoneId ownZone) {
-    return Representatives.choose(ownZone.value(), aliveInZone(nowNanos));
+  private Optional<Member> representativeOf(long nowNanos) {
+    return Representatives.choose(self.zone().value(), aliveInZone(nowNanos));
   }
 
   private boolean isZoneRepresentative(long nowNanos) {
-    return representativeOf(nowNanos, self.zone()).filter(self::equals).isPresent();
+    return isSameVm(representativeOf(nowNanos), self);
   }
 
   private boolean isRegionRepresentative(long nowNanos) {
-    List<Member> candidates = new ArrayList<>(aliveInZone(nowNanos));
-    for (ZoneId zone : zonesOf(self.region())) {
-      if (!zone.equals(self.zone()) && !silentZones.isZoneSilent(nowNanos, zone)) {
-        candidates.addAll(candidatesOf(zone));
-      }
-    }
-    return Representatives.choose(self.region().value(), candidates)
-        .filter(member -> member.vm().equals(self.vm()))
-        .isPresent();
+    return isZoneRepresentative(nowNanos) && speakingZone(nowNanos).equals(self.zone());
+  }
+
+  /** Returns the zone whose representative speaks for the own region. */
+  private ZoneId speakingZone(long nowNanos) {
+    return zonesOf(self.region()).stream()
+        .filter(zone -> zone.equals(self.zone()) || !silentZones.isZoneSilent(nowNanos, zone))
+        .findFirst()
+        .orElse(self.zone());
   }
 
   /** Returns whether this VM reads the platform's rows on behalf of its zone. */
@@ -296,7 +319,7 @@
   private ImmutableSet<ZoneId> ownSilentZones(long nowNanos) {
     ImmutableSet.Builder<ZoneId> silent = ImmutableSet.builder();
     boolean zoneRepresentative = isZoneRepresentative(nowNanos);
-    boolean regionRepresentative = zoneRepresentative && isRegionRepresentative(nowNanos);
+    boolean regionRepresentative = isRegionRepresentative(nowNanos);
     for (ZoneDigest digest : world.all().values()) {
       if (digest.zone().equals(self.zone()) || digest.entries().isEmpty()) {
         continue;
--- /dev/null
+++ b/core/src/test/java/org/mustardstage/core/lookup/AssignmentTest.java
@@ -0,0 +1,89 @@
+package org.mustardstage.core.lookup;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.VmIncarnation;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.member.Member;
+
+class AssignmentTest {
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 4, 7, 23, 65})
+  void firstChoicesAreSpreadEvenly(int vms) {
+    Assignment assignment = Assignment.of(members(vms));
+    Map<Member, Integer> loads = new HashMap<>();
+    for (int start : startsOfAllBuckets()) {
+      loads.merge(assignment.vmsFor(start).getFirst(), 1, Integer::sum);
+    }
+    int bound = (Assignment.BUCKETS + vms - 1) / vms;
+    loads.values().forEach(load -> assertThat(load, lessThanOrEqualTo(bound)));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 4, 23})
+  void answersNameDistinctVms(int vms) {
+    Assignment assignment = Assignment.of(members(vms));
+    int expected = Math.min(vms, Assignment.VMS_PER_ANSWER);
+    for (int start : startsOfAllBuckets()) {
+      assertThat(new HashSet<>(assignment.vmsFor(start)), hasSize(expected));
+    }
+  }
+
+  @Test
+  void answersAreStableForACaller() {
+    List<Member> members = members(9);
+    assertThat(Assignment.of(members).vmsFor(42), equalTo(Assignment.of(members).vmsFor(42)));
+  }
+
+  @Test
+  void fewCallersMoveWhenAVmGoes() {
+    List<Member> members = members(20);
+    Assignment before = Assignment.of(members);
+    Assignment after = Assignment.of(members.subList(0, 19));
+    int moved = 0;
+    for (int start : startsOfAllBuckets()) {
+      boolean same = before.vmsFor(start).getFirst().equals(after.vmsFor(start).getFirst());
+      moved += same ? 0 : 1;
+    }
+    assertThat(moved, lessThanOrEqualTo(Assignment.BUCKETS / 4));
+  }
+
+  private static List<Integer> startsOfAllBuckets() {
+    Map<Integer, Integer> starts = new HashMap<>();
+    for (int start = 0; starts.size() < Assignment.BUCKETS; start++) {
+      starts.putIfAbsent(Assignment.bucketOf(start), start);
+    }
+    return new ArrayList<>(starts.values());
+  }
+
+  private static List<Member> members(int count) {
+    return IntStream.range(0, count).mapToObj(AssignmentTest::member).toList();
+  }
+
+  private static Member member(int number) {
+    HostAndPort address = new HostAndPort("127.0.0.1", 10_000 + number);
+    return new Member(
+        new VmIncarnation(new VmId("vm-" + number), 1),
+        new ZoneId("zone"),
+        new RegionId("region"),
+        address,
+        address,
+        address,
+        /* leaving= */ false);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/mustardstage/core/member/MemberCluster.java
@@ -0,0 +1,163 @@
+package org.mustardstage.core.member;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.VmIncarnation;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.HostAndPort;
+
+/** Several VMs in virtual time, with a network whose links can be cut. */
+final class MemberCluster {
+  private static final long TICK_NANOS = Duration.ofMillis(20).toNanos();
+  private static final long DELAY_NANOS = Duration.ofMillis(2).toNanos();
+
+  private final Map<VmId, Member> members = new HashMap<>();
+  private final Map<VmId, Membership> states = new HashMap<>();
+  private final Set<VmId> crashed = new HashSet<>();
+  private final PriorityQueue<Delivery> network =
+      new PriorityQueue<>(Comparator.comparingLong(Delivery::atNanos));
+  private BiPredicate<Member, Member> cut = (from, to) -> false;
+  private long nowNanos;
+  private long sentMessages;
+
+  private record Delivery(long atNanos, Member from, Member to, MemberMessage message) {}
+
+  /** Creates {@code vmsPerZone} VMs in each of {@code zonesPerRegion} zones of each region. */
+  static MemberCluster of(int regions, int zonesPerRegion, int vmsPerZone) {
+    MemberCluster cluster = new MemberCluster();
+    int port = 10_000;
+    for (int r = 0; r < regions; r++) {
+      for (int z = 0; z < zonesPerRegion; z++) {
+        for (int v = 0; v < vmsPerZone; v++) {
+          cluster.add(
+              member("r" + r, "r" + r + "-z" + z, "r" + r + "-z" + z + "-v" + v, 1, port++));
+        }
+      }
+    }
+    cluster.publishList();
+    return cluster;
+  }
+
+  static Member member(String region, String zone, String vm, long run, int port) {
+    HostAndPort address = new HostAndPort("127.0.0.1", port);
+    return new Member(
+        new VmIncarnation(new VmId(vm), run),
+        new ZoneId(zone),
+        new RegionId(region),
+        address,
+        address,
+        address,
+        /* leaving= */ false);
+  }
+
+  void add(Member member) {
+    members.put(member.vm(), member);
+    crashed.remove(member.vm());
+    states.put(member.vm(), new Membership(MembershipSettings.defaults(), member, nowNanos));
+  }
+
+  /** Gives every VM the list of VMs that have not crashed. */
+  void publishList() {
+    List<Member> list =
+        members.values().stream().filter(member -> !crashed.contains(member.vm())).toList();
+    members.keySet().stream()
+        .filter(vm -> !crashed.contains(vm))
+        .forEach(vm -> run(members.get(vm), states.get(vm).onVmList(nowNanos, list)));
+  }
+
+  void crash(String vm) {
+    crashed.add(new VmId(vm));
+  }
+
+  void cutLinks(BiPredicate<Member, Member> newCut) {
+    cut = newCut;
+  }
+
+  Member member(String vm) {
+    return members.get(new VmId(vm));
+  }
+
+  Membership state(String vm) {
+    return states.get(new VmId(vm));
+  }
+
+  MemberView view(String vm) {
+    return state(vm).view(nowNanos);
+  }
+
+  MemberStatus status(String viewer, String vm) {
+    return view(viewer).statuses().stream()
+        .filter(status -> status.member().vm().equals(new VmId(vm)))
+        .max(Comparator.comparingLong(status -> status.member().incarnation().number()))
+        .orElseThrow();
+  }
+
+  List<Membership> runningStates() {
+    return states.entrySet().stream()
+        .filter(entry -> !crashed.contains(entry.getKey()))
+        .map(Map.Entry::getValue)
+        .toList();
+  }
+
+  long nowNanos() {
+    return nowNanos;
+  }
+
+  long sentMessages() {
+    return sentMessages;
+  }
+
+  void run(String vm, List<MemberAction> actions) {
+    run(member(vm), actions);
+  }
+
+  private void run(Member from, List<MemberAction> actions) {
+    for (MemberAction action : actions) {
+      if (action instanceof MemberAction.SendMessage send && !cut.test(from, send.to())) {
+        sentMessages++;
+        network.add(new Delivery(nowNanos + DELAY_NANOS, from, send.to(), send.message()));
+      }
+    }
+  }
+
+  /** Lets time pass. */
+  void advance(Duration duration) {
+    long endNanos = nowNanos + duration.toNanos();
+    while (nowNanos < endNanos) {
+      nowNanos += TICK_NANOS;
+      deliverDue();
+      new ArrayList<>(members.values())
+          .forEach(
+              member -> {
+                if (!crashed.contains(member.vm())) {
+                  run(member, states.get(member.vm()).onTick(nowNanos));
+                }
+              });
+    }
+  }
+
+  private void deliverDue() {
+    while (!network.isEmpty() && network.peek().atNanos() <= nowNanos) {
+      Delivery delivery = network.poll();
+      Member current = members.get(delivery.to().vm());
+      boolean reaches =
+          !crashed.contains(current.vm())
+              && current.incarnation().equals(delivery.to().incarnation());
+      if (reaches) {
+        run(
+            current,
+            states.get(current.vm()).onMessage(nowNanos, delivery.from(), delivery.message()));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/mustardstage/core/member/MembershipTest.java
@@ -0,0 +1,157 @@
+package org.mustardstage.core.member;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.member.MemberStatus.Liveness;
+
+class MembershipTest {
+  private final MemberCluster cluster = MemberCluster.of(3, 2, 4);
+
+  @Test
+  void everyVmLearnsOfEveryOther() {
+    cluster.advance(Duration.ofSeconds(10));
+    assertThat(cluster.view("r0-z0-v0").takingCallers(), hasSize(24));
+    assertThat(cluster.view("r2-z1-v3").takingCallers(), hasSize(24));
+    assertThat(cluster.view("r0-z0-v0").silentZones(), empty());
+  }
+
+  @Test
+  void crashedVmIsSuspectedThenBelievedDeadInItsZone() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.crash("r0-z0-v1");
+    cluster.advance(Duration.ofSeconds(1));
+    assertThat(cluster.status("r0-z0-v0", "r0-z0-v1").liveness(), equalTo(Liveness.SUSPECTED));
+    cluster.advance(Duration.ofSeconds(1));
+    assertThat(cluster.status("r0-z0-v0", "r0-z0-v1").liveness(), equalTo(Liveness.DEAD));
+  }
+
+  @Test
+  void crashedVmLeavesTheAnswersOfOtherRegions() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.crash("r0-z0-v1");
+    cluster.advance(Duration.ofSeconds(10));
+    assertThat(cluster.view("r2-z0-v0").takingCallers(), hasSize(23));
+  }
+
+  @Test
+  void silentVmIsNotProvenGoneWhileTheListHasIt() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.crash("r0-z0-v1");
+    cluster.advance(Duration.ofSeconds(60));
+    assertThat(cluster.status("r0-z0-v0", "r0-z0-v1").provenGone(), is(false));
+  }
+
+  @Test
+  void silentVmIsProvenGoneOnceTheListDroppedIt() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.crash("r0-z0-v1");
+    cluster.advance(Duration.ofSeconds(16));
+    cluster.publishList();
+    assertThat(cluster.status("r0-z0-v0", "r0-z0-v1").provenGone(), is(true));
+  }
+
+  @Test
+  void vmThatTheListDroppedIsNotProvenGoneBeforeTheLongestLease() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.crash("r0-z0-v1");
+    cluster.publishList();
+    cluster.advance(Duration.ofSeconds(10));
+    assertThat(cluster.status("r0-z0-v0", "r0-z0-v1").provenGone(), is(false));
+  }
+
+  @Test
+  void vmThatWasNeverListedIsNotProvenGone() {
+    cluster.add(MemberCluster.member("r0", "r0-z0", "r0-z0-new", 1, 20_000));
+    cluster.run(
+        "r0-z0-v0",
+        cluster.state("r0-z0-v0").onHello(cluster.nowNanos(), cluster.member("r0-z0-new")));
+    cluster.crash("r0-z0-new");
+    cluster.advance(Duration.ofSeconds(60));
+    cluster.publishList();
+    assertThat(cluster.status("r0-z0-v0", "r0-z0-new").provenGone(), is(false));
+  }
+
+  @Test
+  void earlierRunIsProvenGoneWhenALaterOneIsHeard() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.add(MemberCluster.member("r0", "r0-z0", "r0-z0-v1", 2, 10_001));
+    cluster.publishList();
+    cluster.advance(Duration.ofSeconds(3));
+    boolean earlierGone =
+        cluster.view("r0-z0-v0").statuses().stream()
+            .filter(status -> status.member().vm().value().equals("r0-z0-v1"))
+            .filter(status -> status.member().incarnation().number() == 1)
+            .allMatch(MemberStatus::provenGone);
+    assertThat(earlierGone, is(true));
+    assertThat(cluster.status("r0-z0-v0", "r0-z0-v1").liveness(), equalTo(Liveness.ALIVE));
+  }
+
+  @Test
+  void leavingVmLeavesTheAnswersEverywhere() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.run("r1-z0-v2", cluster.state("r1-z0-v2").leave(cluster.nowNanos()));
+    cluster.advance(Duration.ofSeconds(8));
+    assertThat(cluster.view("r1-z0-v0").takingCallers(), hasSize(23));
+    assertThat(cluster.view("r0-z1-v0").takingCallers(), hasSize(23));
+  }
+
+  @Test
+  void regionThatIsCutOffIsSilentAndComesBack() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.cutLinks((from, to) -> !from.region().equals(to.region()));
+    cluster.advance(Duration.ofSeconds(15));
+    assertThat(
+        cluster.view("r0-z0-v0").silentZones(),
+        equalTo(
+            Set.of(
+                new ZoneId("r1-z0"),
+                new ZoneId("r1-z1"),
+                new ZoneId("r2-z0"),
+                new ZoneId("r2-z1"))));
+    assertThat(cluster.view("r0-z0-v0").takingCallers(), hasSize(8));
+    cluster.cutLinks((from, to) -> false);
+    cluster.advance(Duration.ofSeconds(10));
+    assertThat(cluster.view("r0-z0-v0").silentZones(), empty());
+    assertThat(cluster.view("r0-z1-v3").takingCallers(), hasSize(24));
+  }
+
+  @Test
+  void versionInForceIsKnownEverywhere() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.runningStates().forEach(state -> state.onVersion(new ConfigVersion(7)));
+    cluster.advance(Duration.ofSeconds(8));
+    boolean allKnown =
+        cluster.view("r2-z0-v0").statuses().stream()
+            .allMatch(status -> status.version().equals(new ConfigVersion(7)));
+    assertThat(allKnown, is(true));
+  }
+
+  @Test
+  void twoVmsOfEachZonePoll() {
+    cluster.advance(Duration.ofSeconds(10));
+    long pollers =
+        cluster.runningStates().stream()
+            .filter(state -> state.isPoller(cluster.nowNanos()))
+            .count();
+    assertThat(pollers, equalTo(12L));
+  }
+
+  @Test
+  void zoneKeepsItsOwnMembersWhenItIsCutOff() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.cutLinks((from, to) -> !from.zone().equals(to.zone()));
+    cluster.advance(Duration.ofSeconds(30));
+    assertThat(cluster.view("r0-z0-v0").aliveInOwnZone(), hasSize(4));
+    assertThat(cluster.view("r0-z0-v0").takingCallers(), not(empty()));
+  }
+}
