Check the lengths in a frame before its payload is read

Change: a frame is skipped through once, which checks every length against the frame, before it is read.

--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -8,6 +8,8 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.mustardstage.core.id.ConfigVersion;
@@ -90,6 +92,9 @@
 
   /** Returns the message that the content of a frame holds. */
   public static Either<FrameProblem, Frame> decode(byte[] content) {
+    if (!isWhole(content)) {
+      return Either.left(new FrameProblem.Malformed("not one whole value"));
+    }
     try (JsonParser parser = MAPPER.createParser(content)) {
       return decode(parser);
     } catch (IOException | RuntimeException e) {
@@ -97,6 +102,19 @@
     }
   }
 
+  /**
+   * Returns whether {@code content} is one value whose declared lengths lie within it. The reader
+   * of payloads allocates what a length declares, so this is checked before.
+   */
+  private static boolean isWhole(byte[] content) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(content)) {
+      unpacker.skipValue();
+      return unpacker.getTotalReadBytes() == content.length;
+    } catch (IOException | RuntimeException e) {
+      return false;
+    }
+  }
+
   private static Either<FrameProblem, Frame> decode(JsonParser parser) throws IOException {
     if (parser.nextToken() != JsonToken.START_ARRAY) {
       return Either.left(new FrameProblem.Malformed("a frame is an array"));
