Read manifests on a thread of their own

Change: reading, splitting and the reading of fetched parts run on the manifest-reader thread; the control thread only joins lists of records.

--- a/entry/src/main/java/org/mustardstage/entry/control/ConfigService.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ConfigService.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import org.mustardstage.core.config.ConfigAction;
 import org.mustardstage.core.config.ConfigHead;
@@ -32,8 +33,8 @@
   private final ObjectStore store;
   private final LongSupplier clock;
   private final Host host;
-  private final ObjectCache cache = new ObjectCache();
-  private final ConfigTracker tracker = new ConfigTracker(cache);
+  private final ObjectCache cache;
+  private final ConfigTracker tracker;
   private long polledNanos = Long.MIN_VALUE / 2;
   private boolean pollRunning;
 
@@ -52,7 +53,10 @@
     void onPlatformAnswer(boolean answered);
   }
 
-  ConfigService(TableService table, ObjectStore store, LongSupplier clock, Host host) {
+  ConfigService(
+      TableService table, ObjectStore store, LongSupplier clock, Executor reader, Host host) {
+    this.cache = new ObjectCache(reader);
+    this.tracker = new ConfigTracker(cache);
     this.table = table;
     this.store = store;
     this.clock = clock;
@@ -110,11 +114,15 @@
 
   void onObjects(Member from, PeerMessage.ConfigObjects objects) {
     ConfigSource source = new ConfigSource.Peer(from);
-    boolean whole = true;
-    for (PeerMessage.ConfigObject object : objects.objects()) {
-      whole &= object.content().filter(content -> cache.put(object.hash(), content)).isPresent();
-    }
-    onStored(source, whole);
+    Promises.toList(objects.objects().stream().map(this::store).toList())
+        .whenResult(ends -> onStored(source, ends.stream().allMatch(stored -> stored)));
+  }
+
+  private Promise<Boolean> store(PeerMessage.ConfigObject object) {
+    return object
+        .content()
+        .map(content -> cache.put(object.hash(), content))
+        .orElse(Promise.of(false));
   }
 
   private void onStored(ConfigSource source, boolean whole) {
@@ -154,12 +162,12 @@
   private Promise<Boolean> fetchObject(String hash) {
     return store
         .get(hash)
-        .map(
+        .then(
             end ->
                 end.toJavaOptional()
                     .flatMap(content -> content)
-                    .filter(content -> cache.put(hash, new String(content, StandardCharsets.UTF_8)))
-                    .isPresent());
+                    .map(content -> cache.put(hash, new String(content, StandardCharsets.UTF_8)))
+                    .orElse(Promise.of(false)));
   }
 
   private void announce(ConfigAction.Announce announce) {
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -15,6 +15,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import org.mustardstage.core.config.ConfigHead;
@@ -60,6 +62,8 @@
   private final ProcessSettings settings;
   private final Eventloop eventloop;
   private final LongSupplier clock = System::nanoTime;
+  private final ExecutorService reader =
+      Executors.newSingleThreadExecutor(task -> new Thread(task, "manifest-reader"));
   private final MembershipSettings membershipSettings = MembershipSettings.defaults();
   private final AtomicReference<Snapshot> snapshot;
   private final AtomicReference<LookupTable> lookupTable;
@@ -95,11 +99,12 @@
     this.snapshot = new AtomicReference<>(newSnapshot(ConfigHead.NONE));
     this.lookupTable = new AtomicReference<>(newLookupTable());
     this.network = new PeerNetwork(eventloop, () -> self, clock, new Receiver());
-    this.config = new ConfigService(platform, platform, clock, new ConfigHost());
+    this.config = new ConfigService(platform, platform, clock, reader, new ConfigHost());
     this.submissions =
         new SubmissionService(
             platform,
             platform,
+            reader,
             System::currentTimeMillis,
             submitted -> StateCheck.check(submitted, memberView.get()),
             config::isStored,
@@ -358,6 +363,7 @@
         });
     handedOver.join();
     eventloop.submit(() -> network.stop().toVoid()).join();
+    reader.shutdown();
     eventloop.keepAlive(false);
     eventloop.execute(eventloop::breakEventloop);
   }
--- a/entry/src/main/java/org/mustardstage/entry/control/SubmissionService.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/SubmissionService.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -41,6 +42,7 @@
 
   private final TableService table;
   private final ObjectStore objects;
+  private final Executor reader;
   private final LongSupplier wallClockMillis;
   private final Function<Manifest, List<SubmissionEnd.ProblemText>> check;
   private final Predicate<String> isStored;
@@ -49,6 +51,7 @@
   /**
    * Creates the service.
    *
+   * @param reader where manifests are read, as a large one takes long
    * @param check finds what the state of the system forbids of a manifest that is valid by itself
    * @param isStored tells of hashes whose objects are surely in the object store
    * @param onAccepted told of each accepted manifest
@@ -56,12 +59,14 @@
   SubmissionService(
       TableService table,
       ObjectStore objects,
+      Executor reader,
       LongSupplier wallClockMillis,
       Function<Manifest, List<SubmissionEnd.ProblemText>> check,
       Predicate<String> isStored,
       Consumer<ConfigHead> onAccepted) {
     this.table = table;
     this.objects = objects;
+    this.reader = reader;
     this.wallClockMillis = wallClockMillis;
     this.check = check;
     this.isStored = isStored;
@@ -69,15 +74,20 @@
   }
 
   Promise<SubmissionEnd> submit(Submission submission) {
-    Either<List<SubmissionEnd.ProblemText>, Manifest> read = readManifest(submission);
-    if (read.isLeft()) {
-      return Promise.of(refused(submission, new SubmissionEnd.Invalid(read.getLeft())));
-    }
-    return findEarlier(submission)
-        .then(earlier -> earlier.fold(Promise::of, none -> accept(submission, read.get())))
+    return Promise.ofBlocking(reader, () -> readManifest(submission))
+        .then(
+            read ->
+                read.fold(
+                    problems -> Promise.of(new SubmissionEnd.Invalid(problems)),
+                    manifest -> submit(submission, manifest)))
         .whenResult(end -> log(submission, end));
   }
 
+  private Promise<SubmissionEnd> submit(Submission submission, Manifest manifest) {
+    return findEarlier(submission)
+        .then(earlier -> earlier.fold(Promise::of, none -> accept(submission, manifest)));
+  }
+
   private Either<List<SubmissionEnd.ProblemText>, Manifest> readManifest(Submission submission) {
     return ManifestReader.read(submission.manifestYaml())
         .mapLeft(problems -> problems.stream().map(SubmissionService::toText).toList())
@@ -126,9 +136,14 @@
     if (!current.version().equals(submission.baseVersion())) {
       return Promise.of(new SubmissionEnd.Conflict(current.version()));
     }
-    ManifestParts parts = ManifestParts.split(manifest);
-    ConfigHead head = new ConfigHead(current.version().next(), parts.rootHash());
     long headRevision = headRow.map(Row::revision).orElse(Transaction.ABSENT);
+    return Promise.ofBlocking(reader, () -> ManifestParts.split(manifest))
+        .then(parts -> storeAndCommit(submission, parts, current.version().next(), headRevision));
+  }
+
+  private Promise<SubmissionEnd> storeAndCommit(
+      Submission submission, ManifestParts parts, ConfigVersion version, long headRevision) {
+    ConfigHead head = new ConfigHead(version, parts.rootHash());
     return storeParts(parts)
         .then(
             failure ->
@@ -227,11 +242,6 @@
             });
   }
 
-  private static SubmissionEnd refused(Submission submission, SubmissionEnd end) {
-    log(submission, end);
-    return end;
-  }
-
   private static void log(Submission submission, SubmissionEnd end) {
     Event event =
         end instanceof SubmissionEnd.Accepted ? Event.MANIFEST_ACCEPTED : Event.SUBMISSION_REFUSED;
--- a/schema/src/main/java/org/mustardstage/schema/ManifestAssembler.java
+++ b/schema/src/main/java/org/mustardstage/schema/ManifestAssembler.java
@@ -2,92 +2,75 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import org.mustardstage.core.manifest.DocumentProblem;
 import org.mustardstage.core.manifest.Manifest;
 
 /**
- * Puts manifests together from their parts. Parts that were read for an earlier manifest are not
- * read again. The parts of an accepted manifest are known to be valid together.
+ * Puts manifests together from their parts. Objects are read once, on any thread; putting read
+ * objects together is quick. The parts of an accepted manifest are known to be valid together.
  */
 public final class ManifestAssembler {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final TypeReference<List<String>> HASHES = new TypeReference<>() {};
 
-  private Map<String, Manifest> partsByHash = new HashMap<>();
+  private final Map<String, ImmutableList<String>> roots = new ConcurrentHashMap<>();
+  private final Map<String, Manifest> parts = new ConcurrentHashMap<>();
 
-  /** Returns the hashes of the parts of the manifest that was put together last. */
-  public ImmutableSet<String> partHashes() {
-    return ImmutableSet.copyOf(partsByHash.keySet());
-  }
-
-  /** Returns the manifest whose root is stored under {@code rootHash}. */
-  public Either<AssemblyProblem, Manifest> assemble(
-      String rootHash, Function<String, Optional<String>> objects) {
-    Optional<String> root = objects.apply(rootHash);
-    if (root.isEmpty()) {
-      return Either.left(new AssemblyProblem.Missing(ImmutableList.of(rootHash)));
+  /** Reads the object stored under {@code hash}. Returns what is wrong with it, if anything. */
+  public Optional<AssemblyProblem.Malformed> read(String hash, String content) {
+    try {
+      JsonNode node = MAPPER.readTree(content);
+      if (node.isArray()) {
+        roots.put(hash, ImmutableList.copyOf(MAPPER.convertValue(node, HASHES)));
+        return Optional.empty();
+      }
+      return readPart(hash, node);
+    } catch (JsonProcessingException | RuntimeException e) {
+      return Optional.of(new AssemblyProblem.Malformed(hash, String.valueOf(e.getMessage())));
     }
-    return readRoot(rootHash, root.get()).flatMap(hashes -> assembleParts(hashes, objects));
   }
 
-  private static Either<AssemblyProblem, List<String>> readRoot(String rootHash, String root) {
-    try {
-      return Either.right(MAPPER.readValue(root, HASHES));
-    } catch (JsonProcessingException e) {
-      return Either.left(new AssemblyProblem.Malformed(rootHash, e.getOriginalMessage()));
+  private Optional<AssemblyProblem.Malformed> readPart(String hash, JsonNode node) {
+    ManifestMapper mapper = new ManifestMapper();
+    Manifest part = mapper.map(node);
+    List<DocumentProblem> problems = mapper.problems();
+    if (!problems.isEmpty()) {
+      return Optional.of(new AssemblyProblem.Malformed(hash, problems.toString()));
     }
+    parts.put(hash, part);
+    return Optional.empty();
   }
 
-  private Either<AssemblyProblem, Manifest> assembleParts(
-      List<String> hashes, Function<String, Optional<String>> objects) {
-    Map<String, Manifest> parts = new HashMap<>();
-    List<String> missing = new ArrayList<>();
-    for (String hash : hashes) {
-      Manifest known = partsByHash.get(hash);
-      if (known != null) {
-        parts.put(hash, known);
-        continue;
-      }
-      Optional<String> content = objects.apply(hash);
-      if (content.isEmpty()) {
-        missing.add(hash);
-        continue;
-      }
-      Either<AssemblyProblem, Manifest> part = readPart(hash, content.get());
-      if (part.isLeft()) {
-        return Either.left(part.getLeft());
-      }
-      parts.put(hash, part.get());
+  /** Returns the manifest whose root is stored under {@code rootHash}, or which objects to read. */
+  public Either<AssemblyProblem.Missing, Manifest> assemble(String rootHash) {
+    ImmutableList<String> hashes = roots.get(rootHash);
+    if (hashes == null) {
+      return Either.left(new AssemblyProblem.Missing(ImmutableList.of(rootHash)));
     }
+    List<String> missing = hashes.stream().filter(hash -> !parts.containsKey(hash)).toList();
     if (!missing.isEmpty()) {
-      partsByHash.putAll(parts);
       return Either.left(new AssemblyProblem.Missing(missing));
     }
-    partsByHash = parts;
     return Either.right(join(hashes.stream().map(parts::get).toList()));
   }
 
-  private static Either<AssemblyProblem, Manifest> readPart(String hash, String content) {
-    try {
-      ManifestMapper mapper = new ManifestMapper();
-      Manifest part = mapper.map(MAPPER.readTree(content));
-      List<DocumentProblem> problems = mapper.problems();
-      return problems.isEmpty()
-          ? Either.right(part)
-          : Either.left(new AssemblyProblem.Malformed(hash, problems.toString()));
-    } catch (JsonProcessingException | RuntimeException e) {
-      return Either.left(new AssemblyProblem.Malformed(hash, String.valueOf(e.getMessage())));
-    }
+  /** Forgets the objects that are no part of the manifest whose root is {@code rootHash}. */
+  public ImmutableSet<String> retain(String rootHash) {
+    ImmutableList<String> hashes = roots.getOrDefault(rootHash, ImmutableList.of());
+    ImmutableSet<String> kept = ImmutableSet.<String>builder().addAll(hashes).add(rootHash).build();
+    roots.keySet().retainAll(kept);
+    parts.keySet().retainAll(kept);
+    return kept;
   }
 
   private static Manifest join(List<Manifest> parts) {
--- a/schema/src/test/java/org/mustardstage/schema/ManifestPartsTest.java
+++ b/schema/src/test/java/org/mustardstage/schema/ManifestPartsTest.java
@@ -3,14 +3,13 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.aMapWithSize;
 import static org.hamcrest.Matchers.equalTo;
-import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.mustardstage.core.id.CallName;
 import org.mustardstage.core.id.EndpointId;
@@ -80,15 +79,30 @@
 
   @Test
   void partThatCantBeReadIsNamed() {
+    assertThat(malformedHash("{"), equalTo("some-hash"));
+    assertThat(malformedHash("[7, {}]"), equalTo("some-hash"));
+    assertThat(malformedHash("{\"services\": [{\"name\": 7}]}"), equalTo("some-hash"));
+  }
+
+  private String malformedHash(String content) {
+    return assembler.read("some-hash", content).orElseThrow().hash();
+  }
+
+  @Test
+  void retainedObjectsAreThoseOfTheManifest() {
     ManifestParts parts = ManifestParts.split(manifest(9, 10, 172));
-    Map<String, String> broken = new HashMap<>(parts.objects());
-    broken.replaceAll((hash, content) -> hash.equals(parts.rootHash()) ? content : "{");
-    assertThat(
-        assemble(parts.rootHash(), broken).getLeft(), instanceOf(AssemblyProblem.Malformed.class));
+    ManifestParts other = ManifestParts.split(manifest(8, 10, 172));
+    assemble(other.rootHash(), other.objects());
+    assemble(parts.rootHash(), parts.objects());
+    assertThat(assembler.retain(parts.rootHash()), equalTo(parts.objects().keySet()));
+    assertThat(assembler.assemble(other.rootHash()).isLeft(), is(true));
   }
 
-  private Either<AssemblyProblem, Manifest> assemble(String rootHash, Map<String, String> objects) {
-    return assembler.assemble(rootHash, hash -> Optional.ofNullable(objects.get(hash)));
+  private Either<AssemblyProblem.Missing, Manifest> assemble(
+      String rootHash, Map<String, String> objects) {
+    objects.forEach(
+        (hash, content) -> assertThat(assembler.read(hash, content).isEmpty(), is(true)));
+    return assembler.assemble(rootHash);
   }
 
   private static Manifest manifest(int slots, long firstOctet, long secondOctet) {
