--- a/core/src/main/java/org/mustardstage/core/lookup/Assignment.java
+++ b/core/src/main/java/org/mustardstage/core/lookup/Assignment.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.List;
 import org.mustardstage.core.member.Member;
 
@@ -19,9 +18,14 @@
   /** The number of entry VMs in an answer, when there are as many. */
   public static final int VMS_PER_ANSWER = 3;
 
+  private static final long INDEX_MASK = 0xFFFF;
+
+  private final ImmutableList<Member> members;
   private final ImmutableList<ImmutableList<Member>> buckets;
 
-  private Assignment(ImmutableList<ImmutableList<Member>> buckets) {
+  private Assignment(
+      ImmutableList<Member> members, ImmutableList<ImmutableList<Member>> buckets) {
+    this.members = members;
     this.buckets = buckets;
   }
 
@@ -35,22 +39,29 @@
     long[] keys = members.stream().mapToLong(m -> mix(m.vm().value().hashCode())).toArray();
     ImmutableList.Builder<ImmutableList<Member>> buckets = ImmutableList.builder();
     for (int bucket = 0; bucket < BUCKETS; bucket++) {
-      Integer[] order = rank(bucket, keys);
+      int[] order = rank(bucket, keys);
       buckets.add(choose(members, order, perAnswer, firstLoads, firstBound, loads, bound));
     }
-    return new Assignment(buckets.build());
+    return new Assignment(ImmutableList.copyOf(members), buckets.build());
   }
 
-  private static Integer[] rank(int bucket, long[] keys) {
-    Integer[] order = new Integer[keys.length];
-    Arrays.setAll(order, i -> i);
-    Arrays.sort(order, Comparator.comparingLong(i -> mix(keys[i] + bucket)));
+  /** Returns the indexes of the VMs in the order in which the bucket prefers them. */
+  private static int[] rank(int bucket, long[] keys) {
+    long[] ranks = new long[keys.length];
+    for (int i = 0; i < keys.length; i++) {
+      ranks[i] = (mix(keys[i] + bucket) & ~INDEX_MASK) | i;
+    }
+    Arrays.sort(ranks);
+    int[] order = new int[keys.length];
+    for (int i = 0; i < keys.length; i++) {
+      order[i] = (int) (ranks[i] & INDEX_MASK);
+    }
     return order;
   }
 
   private static ImmutableList<Member> choose(
       List<Member> members,
-      Integer[] order,
+      int[] order,
       int perAnswer,
       int[] firstLoads,
       int firstBound,
@@ -67,7 +78,7 @@
   }
 
   private static void addFurther(
-      List<Integer> chosen, Integer[] order, int perAnswer, int[] loads, int bound) {
+      List<Integer> chosen, int[] order, int perAnswer, int[] loads, int bound) {
     for (int i = 0; i < order.length && chosen.size() < perAnswer; i++) {
       if (loads[order[i]] < bound && !chosen.contains(order[i])) {
         loads[order[i]]++;
@@ -76,7 +87,7 @@
     }
   }
 
-  private static int firstBelow(Integer[] order, int[] loads, int bound) {
+  private static int firstBelow(int[] order, int[] loads, int bound) {
     for (int candidate : order) {
       if (loads[candidate] < bound) {
         return candidate;
--- a/core/src/main/java/org/mustardstage/core/lookup/LookupTable.java
+++ b/core/src/main/java/org/mustardstage/core/lookup/LookupTable.java
@@ -47,19 +47,32 @@
    * @param blocks the blocks of caller addresses
    * @param ownRegion the region of this VM, used for callers in no block
    * @param members the VMs that may be named in answers
+   * @param earlier a table from which the regions whose VMs are the same are taken over
    */
   public static LookupTable of(
-      ConfigVersion version, BlockTable blocks, RegionId ownRegion, List<Member> members) {
+      ConfigVersion version,
+      BlockTable blocks,
+      RegionId ownRegion,
+      List<Member> members,
+      Optional<LookupTable> earlier) {
     Map<RegionId, List<Member>> byRegion = new HashMap<>();
     for (Member member : members) {
       byRegion.computeIfAbsent(member.region(), key -> new ArrayList<>()).add(member);
     }
     ImmutableMap.Builder<RegionId, Assignment> assignments = ImmutableMap.builder();
-    byRegion.forEach((region, list) -> assignments.put(region, Assignment.of(list)));
+    byRegion.forEach((region, list) -> assignments.put(region, reuse(earlier, region, list)));
     ImmutableMap<RegionId, Assignment> built = assignments.buildOrThrow();
     return new LookupTable(version, blocks, ownRegion, built, fallback(built, ownRegion, members));
   }
 
+  private static Assignment reuse(
+      Optional<LookupTable> earlier, RegionId region, List<Member> members) {
+    return earlier
+        .map(table -> table.assignments.get(region))
+        .filter(assignment -> assignment.members().equals(members))
+        .orElseGet(() -> Assignment.of(members));
+  }
+
   private static Optional<Assignment> fallback(
       ImmutableMap<RegionId, Assignment> assignments, RegionId ownRegion, List<Member> members) {
     Optional<Assignment> own = Optional.ofNullable(assignments.get(ownRegion));
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -97,7 +97,8 @@
     this.membership = new Membership(membershipSettings, self, clock.getAsLong());
     this.memberView = new AtomicReference<>(membership.view(clock.getAsLong()));
     this.snapshot = new AtomicReference<>(newSnapshot(ConfigHead.NONE));
-    this.lookupTable = new AtomicReference<>(newLookupTable());
+    this.lookupTable = new AtomicReference<>();
+    this.lookupTable.set(newLookupTable());
     this.network = new PeerNetwork(eventloop, () -> self, clock, new Receiver());
     this.config = new ConfigService(platform, platform, clock, reader, new ConfigHost());
     this.submissions =
@@ -307,7 +308,8 @@
             .filter(member -> admissions == null || !admissions.drainPlan().isLeaving(member.vm()))
             .toList();
     ConfigVersion version = snapshot.get().version();
-    return LookupTable.of(version, blocks, settings.region(), members);
+    return LookupTable.of(
+        version, blocks, settings.region(), members, Optional.ofNullable(lookupTable.get()));
   }
 
   private Snapshot newSnapshot(ConfigHead head) {
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/bench/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what control costs at the size of the target. */
+package org.mustardstage.standins.bench.capacity;
