--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/permit/AllocatorChoice.java
@@ -0,0 +1,33 @@
+package org.mustardstage.core.permit;
+
+import java.util.Collection;
+import org.mustardstage.core.id.VmIncarnation;
+
+/** Chooses the allocator of a limit by rendezvous hashing over the VMs believed alive. */
+final class AllocatorChoice {
+  private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
+  private static final int SHIFT_BITS = 29;
+
+  private AllocatorChoice() {}
+
+  /** Returns the allocator of {@code limit} among {@code vms}, or null when there is none. */
+  static VmIncarnation allocatorOf(LimitId limit, Collection<VmIncarnation> vms) {
+    VmIncarnation best = null;
+    long bestScore = 0;
+    for (VmIncarnation vm : vms) {
+      long score = score(limit.hashCode(), vm);
+      if (best == null || score > bestScore || (score == bestScore && vm.compareTo(best) < 0)) {
+        best = vm;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private static long score(int limitHash, VmIncarnation vm) {
+    long hash = (limitHash * 31L + vm.vm().value().hashCode()) * 31L + vm.number();
+    hash = (hash ^ (hash >>> SHIFT_BITS)) * MULTIPLIER;
+    hash = (hash ^ (hash >>> SHIFT_BITS)) * MULTIPLIER;
+    return hash ^ (hash >>> SHIFT_BITS);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/permit/Outbox.java
@@ -0,0 +1,34 @@
+package org.mustardstage.core.permit;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.mustardstage.core.id.VmIncarnation;
+
+/** Collects the actions of one event. */
+final class Outbox {
+  private List<PermitAction> actions = new ArrayList<>();
+  private long sent;
+
+  void send(VmIncarnation to, PermitMessage message) {
+    sent++;
+    actions.add(new PermitAction.SendMessage(to, message));
+  }
+
+  void add(PermitAction action) {
+    actions.add(action);
+  }
+
+  /** Returns the actions collected since the last call. */
+  List<PermitAction> drain() {
+    if (actions.isEmpty()) {
+      return List.of();
+    }
+    List<PermitAction> drained = actions;
+    actions = new ArrayList<>();
+    return drained;
+  }
+
+  long messagesSent() {
+    return sent;
+  }
+}
--- a/core/src/main/java/org/mustardstage/core/permit/OwnershipList.java
+++ b/core/src/main/java/org/mustardstage/core/permit/OwnershipList.java
@@ -19,6 +19,7 @@
   public static final int PARTS = 64;
 
   private static final int MULTIPLIER = 0x9E3779B1;
+  private static final int STRIDE = 37;
   private static final int SPREAD_SHIFT_BITS = 16;
 
   /** Checks that every part has an owner, or that the row is absent. */
@@ -38,7 +39,12 @@
   public static int partOf(LimitId limit, int number) {
     int hash = limit.hashCode() * MULTIPLIER;
     int start = (hash ^ (hash >>> SPREAD_SHIFT_BITS)) & (PARTS - 1);
-    return (start + number) & (PARTS - 1);
+    return partAfter(start, number);
+  }
+
+  /** Returns the part of permit {@code number} of a limit whose permit 0 is in {@code start}. */
+  static int partAfter(int start, int number) {
+    return (start + number * STRIDE) & (PARTS - 1);
   }
 
   /** Returns whether {@code vm} owns {@code part}. */
--- a/core/src/main/java/org/mustardstage/core/permit/PermitMessage.java
+++ b/core/src/main/java/org/mustardstage/core/permit/PermitMessage.java
@@ -11,6 +11,9 @@
  * passed to a VM is counted from the latest clock mark that was received from this VM.
  */
 public sealed interface PermitMessage {
+  /** Returns the clock mark of the sender. */
+  long clockMark();
+
   /**
    * A lease of one permit.
    *
@@ -42,7 +45,8 @@
    * @param correlationId names the request; a later one from the same VM takes its place
    * @param clockMark the clock mark of the sender
    * @param limits the limits, the preferred one first
-   * @param wanted how many permits are wanted
+   * @param wanted how many permits are wanted by requests that wait
+   * @param ahead how many more are wanted ahead of demand
    * @param durationNanos how long the leases must last
    * @param patienceNanos how long the request may wait
    */
@@ -51,6 +55,7 @@
       long clockMark,
       List<LimitId> limits,
       int wanted,
+      int ahead,
       long durationNanos,
       long patienceNanos)
       implements PermitMessage {
@@ -105,8 +110,17 @@
     }
   }
 
-  /** Requests wait at the sender for permits of the limits: idle ones go there for a while. */
-  record PermitsWanted(long clockMark, List<LimitId> limits, long durationNanos)
+  /**
+   * Requests wait at the sender for permits of the limits: idle ones go there for a while.
+   *
+   * @param clockMark the clock mark of the sender
+   * @param limits the limits
+   * @param wanted how many permits are wanted
+   * @param earliestNanos the time left to the earliest deadline that waits
+   * @param durationNanos how long idle permits are to go to the sender
+   */
+  record PermitsWanted(
+      long clockMark, List<LimitId> limits, int wanted, long earliestNanos, long durationNanos)
       implements PermitMessage {
     /** Copies the list. */
     public PermitsWanted {
@@ -158,4 +172,7 @@
 
   /** Confirms the receipt of a handover. */
   record HandoverReceived(long handoverId, long clockMark) implements PermitMessage {}
+
+  /** The sender is stopping: it is to get no parts and no idle permits. */
+  record StopAnnounced(long clockMark) implements PermitMessage {}
 }
--- a/core/src/main/java/org/mustardstage/core/permit/PermitSettings.java
+++ b/core/src/main/java/org/mustardstage/core/permit/PermitSettings.java
@@ -33,6 +33,7 @@
     int maxWaiting) {
   private static final long MILLIS = 1_000_000L;
   private static final long DEFAULT_LEASE_NANOS = 10_000 * MILLIS;
+  private static final long DEADLINE_MARGIN_NANOS = 250 * MILLIS;
   private static final long MILLION = 1_000_000L;
 
   /** Checks that the times fit together. */
@@ -57,35 +58,41 @@
     Preconditions.checkArgument(maxWaiting > 0, "maxWaiting must be positive");
   }
 
-  /** Returns the settings for deadlines below ten seconds. */
+  /** Returns the settings for deadlines below five seconds. */
   public static PermitSettings defaults() {
     return forLease(DEFAULT_LEASE_NANOS);
   }
 
   /** Returns settings under which a request may run for {@code deadlineNanos}. */
   public static PermitSettings forLongestDeadline(long deadlineNanos) {
-    return forLease(Math.max(DEFAULT_LEASE_NANOS, deadlineNanos + deadlineNanos / 10));
+    return forLease(Math.max(DEFAULT_LEASE_NANOS, 2 * (deadlineNanos + DEADLINE_MARGIN_NANOS)));
   }
 
-  private static PermitSettings forLease(long leaseNanos) {
+  /** Returns settings whose times fit the lease. */
+  static PermitSettings forLease(long leaseNanos) {
     return new PermitSettings(
         leaseNanos,
-        leaseNanos / 2,
+        leaseNanos * 3 / 4,
         500,
         5 * MILLIS,
         2_000 * MILLIS,
-        250 * MILLIS,
-        leaseNanos / 2,
+        DEADLINE_MARGIN_NANOS,
         leaseNanos / 2,
+        leaseNanos * 3 / 4,
         1_000 * MILLIS,
         100 * MILLIS,
         60 * MILLIS,
         4_096);
   }
 
-  /** Returns the longest time a request may use a permit. */
+  /** Returns the longest time a request may use a permit: any renewed lease covers it. */
   public long longestUseNanos() {
-    return shrink(leaseNanos) - deadlineMarginNanos;
+    return leaseNanos / 2 - deadlineMarginNanos;
+  }
+
+  /** Returns how long the permits of an owner may be in use or leased after it ended. */
+  public long takeoverWaitNanos() {
+    return stretch(leaseNanos) + deadlineMarginNanos;
   }
 
   /** Returns {@code nanos} shortened so that it ends in time on a clock that runs slow. */
@@ -99,6 +106,6 @@
   }
 
   private long errorOf(long nanos) {
-    return nanos / MILLION * maxClockRateErrorPpm + maxClockRateErrorPpm;
+    return 2 * maxClockRateErrorPpm * (nanos / MILLION + 1);
   }
 }
