--- a/core/src/main/java/org/mustardstage/core/permit/LeaseBook.java
+++ b/core/src/main/java/org/mustardstage/core/permit/LeaseBook.java
@@ -21,6 +21,9 @@
     /** Returns whether this VM may grant and lease the permit as its owner. */
     boolean mayUse(LimitState limit, int number, long nowNanos);
 
+    /** Returns the revision of the ownership list of the zone of the limit. */
+    long revisionOf(LimitState limit);
+
     /** Returns the owner of the permit, or {@code issuer} when it is not known. */
     VmIncarnation ownerOf(LimitState limit, int number, VmIncarnation issuer);
   }
@@ -65,8 +68,8 @@
       return false;
     }
     long untilNanos = nowNanos + leaseNanosFor(peer, limit);
-    long stamp = Stamps.nextLease(limit.stamp(number));
-    limit.raiseStamp(number, stamp);
+    limit.raiseStamp(number, Stamps.firstOf(ownership.revisionOf(limit)));
+    limit.raiseStamp(number, Stamps.nextLease(limit.stamp(number)));
     limit.becomeLeasedOut(number, untilNanos);
     addTransfer(
         peer, correlationId, limit, number, context.self, untilNanos - mark.receivedNanos());
--- a/core/src/main/java/org/mustardstage/core/permit/OwnershipKeeper.java
+++ b/core/src/main/java/org/mustardstage/core/permit/OwnershipKeeper.java
@@ -108,6 +108,7 @@
     return true;
   }
 
+  /** Settles a proposal by a newer list; returns whether this VM had one under way. */
   private boolean settlePending(ZoneOwnership ownership, long nowNanos) {
     Pending pending = pendings.get(ownership);
     if (pending == null) {
@@ -119,14 +120,24 @@
     if (pending.purpose == Purpose.GIVE) {
       handOverIfTaken(ownership, pending, nowNanos);
     }
-    boolean mayStillAnswer = pending.isUnderWay && pending.purpose != Purpose.GIVE;
-    if (!mayStillAnswer) {
+    if (!pending.isUnderWay) {
       pendings.remove(ownership);
-      unfreeze(ownership, pending);
+      regain(ownership, pending, nowNanos);
     }
     return true;
   }
 
+  /**
+   * Starts a new tenure of parts that may have had another owner since they were to be given away.
+   */
+  private void regain(ZoneOwnership ownership, Pending pending, long nowNanos) {
+    Set<Integer> doubtful = new HashSet<>(pending.given);
+    doubtful.retainAll(ownership.ownedParts());
+    tenure.loseParts(
+        ownership, doubtful, pending.proposal.expectedRevision(), ownership.list().owners());
+    tenure.follow(ownership, nowNanos);
+  }
+
   private void handOverIfTaken(ZoneOwnership ownership, Pending pending, long nowNanos) {
     boolean isRecent = nowNanos - pending.firstProposedNanos < context.settings.leaseNanos() / 2;
     boolean isTaken = true;
@@ -181,6 +192,10 @@
       case CONDITION_FAILED, UNAVAILABLE -> onNotWritten(ownership, pending);
       case OUTCOME_UNKNOWN -> pending.hasUnknownOutcome = true;
     }
+    if (ownership.revision() > proposal.expectedRevision()) {
+      settlePending(ownership, nowNanos);
+      tenure.follow(ownership, nowNanos);
+    }
   }
 
   private void onCommitted(ZoneOwnership ownership, Pending pending, long nowNanos) {
@@ -294,8 +309,7 @@
       return;
     }
     if (ownership.revision() > pending.proposal.expectedRevision()) {
-      pendings.remove(ownership);
-      unfreeze(ownership, pending);
+      settlePending(ownership, nowNanos);
     } else {
       propose(ownership, pending, pending.proposal.owners(), nowNanos);
     }
--- a/core/src/main/java/org/mustardstage/core/permit/Tenure.java
+++ b/core/src/main/java/org/mustardstage/core/permit/Tenure.java
@@ -42,6 +42,11 @@
     return zones.get(limit.zone).mayUse(limit.partOf(number), nowNanos);
   }
 
+  @Override
+  public long revisionOf(LimitState limit) {
+    return zones.get(limit.zone).revision();
+  }
+
   @Override
   public VmIncarnation ownerOf(LimitState limit, int number, VmIncarnation issuer) {
     ZoneOwnership ownership = zones.get(limit.zone);
