--- a/core/src/test/java/org/mustardstage/core/permit/VirtualVm.java
+++ b/core/src/test/java/org/mustardstage/core/permit/VirtualVm.java
@@ -1,11 +1,14 @@
 package org.mustardstage.core.permit;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.mustardstage.core.id.VmIncarnation;
 import org.mustardstage.core.id.ZoneId;
@@ -26,6 +29,7 @@
   private final double clockRate;
   private final long clockOffsetNanos;
   private final Map<Long, Long> useUntil = new HashMap<>();
+  private final Deque<Supplier<List<PermitAction>>> held = new ArrayDeque<>();
   private long pausedUntilNanos;
   private boolean isRunning = true;
   private boolean isHandedOver;
@@ -95,11 +99,19 @@
   /** Holds all events of this VM back for a while. */
   public void pause(long nanos) {
     pausedUntilNanos = Math.max(pausedUntilNanos, events.nowNanos() + nanos);
+    events.at(pausedUntilNanos, this::runHeld);
   }
 
   /** Ends a pause. */
   public void resume() {
     pausedUntilNanos = 0;
+    runHeld();
+  }
+
+  private void runHeld() {
+    while (events.nowNanos() >= pausedUntilNanos && !held.isEmpty()) {
+      onVm(held.poll());
+    }
   }
 
   /** Ends the process at once. */
@@ -124,22 +136,25 @@
   }
 
   /** Runs an event of this VM, later if it is paused. */
-  void onVm(java.util.function.Supplier<List<PermitAction>> event) {
+  void onVm(Supplier<List<PermitAction>> event) {
     if (!isRunning) {
       return;
     }
     if (events.nowNanos() < pausedUntilNanos) {
-      events.at(pausedUntilNanos, () -> onVm(event));
+      held.add(event);
       return;
     }
     event.get().forEach(this::carryOut);
   }
 
   private void tick() {
-    onVm(() -> agent.onTick(now()));
-    if (isRunning) {
-      events.at(Math.max(pausedUntilNanos, events.nowNanos() + TICK_NANOS), this::tick);
+    if (!isRunning) {
+      return;
+    }
+    if (events.nowNanos() >= pausedUntilNanos) {
+      onVm(() -> agent.onTick(now()));
     }
+    events.after(TICK_NANOS, this::tick);
   }
 
   private void poll() {
