Permit messages: leases ahead of demand, and stops, on the wire

Cause: the request for leases got a field and a stopping VM announces itself; the wire classes had been made from the first version of the types. Change: schema, generated classes and mapping follow.

--- a/core/src/main/java/org/mustardstage/core/permit/LeaseAsker.java
+++ b/core/src/main/java/org/mustardstage/core/permit/LeaseAsker.java
@@ -193,7 +193,7 @@
     }
     Set<LimitId> missing = new LinkedHashSet<>();
     Set<LimitId> called = new LinkedHashSet<>();
-    long earliestNanos = collectWaits(missing);
+    collectWaits(missing);
     boolean isCallDue = false;
     for (LimitId id : missing) {
       LimitState limit = context.table.find(id);
@@ -203,15 +203,13 @@
       }
     }
     if (isCallDue) {
-      call(called, earliestNanos, nowNanos);
+      call(called, nowNanos);
     }
   }
 
-  private long collectWaits(Set<LimitId> missing) {
-    long earliestNanos = Long.MAX_VALUE;
+  private void collectWaits(Set<LimitId> missing) {
     for (PeerRequests.PeerRequest request : peers.all()) {
       missing.addAll(request.limits);
-      earliestNanos = Math.min(earliestNanos, request.deadlineNanos);
     }
     int asked = 0;
     for (Waiter waiter : waiters.all()) {
@@ -219,22 +217,16 @@
         break;
       }
       missing.addAll(waiter.candidates());
-      earliestNanos = Math.min(earliestNanos, waiter.useUntilNanos());
     }
-    return earliestNanos;
   }
 
-  private void call(Set<LimitId> called, long earliestNanos, long nowNanos) {
+  private void call(Set<LimitId> called, long nowNanos) {
     for (LimitId id : called) {
       context.table.find(id).wantedSentNanos = nowNanos;
     }
     PermitMessage message =
         new PermitMessage.PermitsWanted(
-            context.marks.mark(nowNanos),
-            List.copyOf(called),
-            waiters.size() + peers.size(),
-            Math.max(0, earliestNanos - nowNanos),
-            context.settings.wantedNanos());
+            context.marks.mark(nowNanos), List.copyOf(called), context.settings.wantedNanos());
     for (VmIncarnation vm : context.members.aliveIn(context.zone)) {
       if (!vm.equals(context.self)) {
         context.outbox.send(vm, message);
--- a/core/src/main/java/org/mustardstage/core/permit/PermitMessage.java
+++ b/core/src/main/java/org/mustardstage/core/permit/PermitMessage.java
@@ -110,17 +110,8 @@
     }
   }
 
-  /**
-   * Requests wait at the sender for permits of the limits: idle ones go there for a while.
-   *
-   * @param clockMark the clock mark of the sender
-   * @param limits the limits
-   * @param wanted how many permits are wanted
-   * @param earliestNanos the time left to the earliest deadline that waits
-   * @param durationNanos how long idle permits are to go to the sender
-   */
-  record PermitsWanted(
-      long clockMark, List<LimitId> limits, int wanted, long earliestNanos, long durationNanos)
+  /** Requests wait at the sender for permits of the limits: idle ones go there for a while. */
+  record PermitsWanted(long clockMark, List<LimitId> limits, long durationNanos)
       implements PermitMessage {
     /** Copies the list. */
     public PermitsWanted {
--- a/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
@@ -21,6 +21,7 @@
 import org.mustardstage.schema.generated.WireOwnershipAdvertised;
 import org.mustardstage.schema.generated.WireOwnershipConfirmed;
 import org.mustardstage.schema.generated.WirePermitsWanted;
+import org.mustardstage.schema.generated.WireStopAnnounced;
 
 /** The kinds of messages and their numbers in a frame. A number is never used again. */
 enum MessageKind {
@@ -42,7 +43,8 @@
   OWNERSHIP_CONFIRMED(16, WireOwnershipConfirmed.class),
   OWNERSHIP_ADVERTISED(17, WireOwnershipAdvertised.class),
   HANDOVER(18, WireHandover.class),
-  HANDOVER_RECEIVED(19, WireHandoverReceived.class);
+  HANDOVER_RECEIVED(19, WireHandoverReceived.class),
+  STOP_ANNOUNCED(20, WireStopAnnounced.class);
 
   private final int number;
   private final Class<?> payloadClass;
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -31,6 +31,7 @@
 import org.mustardstage.schema.generated.WireOwnershipAdvertised;
 import org.mustardstage.schema.generated.WireOwnershipConfirmed;
 import org.mustardstage.schema.generated.WirePermitsWanted;
+import org.mustardstage.schema.generated.WireStopAnnounced;
 
 /**
  * Converts messages to the content of frames and back. The content is a MessagePack array of the
@@ -148,6 +149,7 @@
       case WireOwnershipAdvertised w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
       case WireHandover w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
       case WireHandoverReceived w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
+      case WireStopAnnounced w -> new PeerMessage.OfPermits(PermitWire.fromWire(w));
       default -> throw new IllegalArgumentException("not a payload: " + payload.getClass());
     };
   }
--- a/entry/src/main/java/org/mustardstage/entry/peer/PermitWire.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PermitWire.java
@@ -22,6 +22,7 @@
 import org.mustardstage.schema.generated.WireOwnershipAdvertised;
 import org.mustardstage.schema.generated.WireOwnershipConfirmed;
 import org.mustardstage.schema.generated.WirePermitsWanted;
+import org.mustardstage.schema.generated.WireStopAnnounced;
 
 /** Maps messages of the permit protocol to their wire classes and back. */
 final class PermitWire {
@@ -75,6 +76,7 @@
       case PermitMessage.Handover m -> toWire(m);
       case PermitMessage.HandoverReceived m ->
           new WireHandoverReceived().withHandoverId(m.handoverId()).withClockMark(m.clockMark());
+      case PermitMessage.StopAnnounced m -> new WireStopAnnounced().withClockMark(m.clockMark());
     };
   }
 
@@ -84,6 +86,7 @@
         .withClockMark(m.clockMark())
         .withLimits(toTexts(m.limits()))
         .withWanted((long) m.wanted())
+        .withAhead((long) m.ahead())
         .withDurationNanos(m.durationNanos())
         .withPatienceNanos(m.patienceNanos());
   }
@@ -145,6 +148,7 @@
         w.getClockMark(),
         fromTexts(w.getLimits()),
         Math.toIntExact(w.getWanted()),
+        Math.toIntExact(w.getAhead()),
         w.getDurationNanos(),
         w.getPatienceNanos());
   }
@@ -211,6 +215,10 @@
     return new PermitMessage.HandoverReceived(w.getHandoverId(), w.getClockMark());
   }
 
+  static PermitMessage fromWire(WireStopAnnounced w) {
+    return new PermitMessage.StopAnnounced(w.getClockMark());
+  }
+
   private static PermitMessage.HandedPermit fromWire(WireHandedPermit w) {
     return new PermitMessage.HandedPermit(
         new LimitId(w.getLimit()),
