Permit messages: the test of the codec follows; a malformed list is ignored

Cause: the test builds the message whose fields changed; a peer's list with a wrong number of owners would have ended the control thread (seen while reading the decoder). Change: as above, with the stop message added to the cases.

--- a/core/src/main/java/org/mustardstage/core/permit/PermitAgent.java
+++ b/core/src/main/java/org/mustardstage/core/permit/PermitAgent.java
@@ -135,8 +135,7 @@
       case PermitMessage.PermitsWanted wanted -> onWanted(nowNanos, from, wanted);
       case PermitMessage.ConfirmOwnership asked -> confirmer.onAsked(nowNanos, from, asked);
       case PermitMessage.OwnershipConfirmed confirmed -> confirmer.onConfirmed(confirmed);
-      case PermitMessage.OwnershipAdvertised list ->
-          followList(nowNanos, new OwnershipList(list.zone(), list.revision(), list.owners()));
+      case PermitMessage.OwnershipAdvertised list -> onAdvertised(nowNanos, list);
       case PermitMessage.Handover handover -> onHandover(nowNanos, from, handover);
       case PermitMessage.HandoverReceived received ->
           keeper.onHandoverReceived(received.handoverId());
@@ -148,6 +147,12 @@
     return end(nowNanos);
   }
 
+  private void onAdvertised(long nowNanos, PermitMessage.OwnershipAdvertised list) {
+    if (list.revision() > 0 && list.owners().size() == OwnershipList.PARTS) {
+      followList(nowNanos, new OwnershipList(list.zone(), list.revision(), list.owners()));
+    }
+  }
+
   private void onRequest(long nowNanos, VmIncarnation from, PermitMessage.LeaseRequest message) {
     if (!peers.isNew(from, message.correlationId())) {
       return;
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
@@ -70,7 +70,7 @@
     List<PermitMessage.HandedPermit> handed =
         List.of(new PermitMessage.HandedPermit(LIMIT, 8, 5, 1));
     return Stream.<PermitMessage>of(
-            new PermitMessage.LeaseRequest(1, 2, List.of(LIMIT), 3, 4, 5),
+            new PermitMessage.LeaseRequest(1, 2, List.of(LIMIT), 3, 4, 5, 6),
             new PermitMessage.LeaseWithdrawal(1, 2),
             new PermitMessage.LeaseTransfer(1, 2, 3, permits),
             new PermitMessage.LeaseReturn(1, names),
@@ -81,7 +81,8 @@
             new PermitMessage.OwnershipConfirmed(1, 2, ZONE, 3),
             new PermitMessage.OwnershipAdvertised(1, ZONE, 2, List.of(VM)),
             new PermitMessage.Handover(1, 2, ZONE, 3, List.of(4, 5), handed),
-            new PermitMessage.HandoverReceived(1, 2))
+            new PermitMessage.HandoverReceived(1, 2),
+            new PermitMessage.StopAnnounced(1))
         .map(PeerMessage.OfPermits::new);
   }
 
