Model of permits, leases and ownership, with each guard refuted when left out

Cause: the promise that uses never exceed slots rests on leases, take-over with proof and handover; none of it was checked. Change: Permits.tla with eight configurations (leases, returns, take-over, partition, handover, a list that errs, a manifest that shrinks and grows, liveness) and TLC run in the test process. 19 guards and 2 conditions of the surroundings are each switched off in turn, and TLC has to find the violation. Conclusion: four holes of the first draft were found by TLC and closed in the specification: a confirmation without a look at the revision, a take-over by a VM that the owner's heartbeat had not reached, an owner that the VM list never showed, a newcomer that never saw the dead owner in the list.

--- /dev/null
+++ b/model/src/test/java/org/mustardstage/model/PermitsModelTest.java
@@ -0,0 +1,73 @@
+package org.mustardstage.model;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Checks the protocol of permits, and that each of its guards is needed. */
+class PermitsModelTest {
+  private static final String SPECIFICATION = "Permits";
+
+  @ParameterizedTest
+  @CsvSource({
+    "PermitsLeases, 2269",
+    "PermitsReturns, 410",
+    "PermitsTakeover, 31140",
+    "PermitsPartition, 11309",
+    "PermitsHandover, 7792",
+    "PermitsList, 13770",
+    "PermitsManifest, 1330",
+    "PermitsLiveness, 11309",
+  })
+  void holds(String configuration, long distinctStates) {
+    TlcResult result = Tlc.check(SPECIFICATION, configuration);
+    Report.held(configuration, result);
+    assertThat(result.output(), result.holds(), is(true));
+    assertThat(result.distinctStates(), is(distinctStates));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "PermitsLeases, CheckLeaseEnd, OneUse",
+    "PermitsLeases, CountFromRequest, OneUse",
+    "PermitsLeases, LenderWaits, OneUse",
+    "PermitsLeases, EndIsKnown, OneUse",
+    "PermitsLeases, SubleaseBounded, OneUse",
+    "PermitsReturns, ReturnNamesLease, OneUse",
+    "PermitsTakeover, WaitAfterTakeover, OneUse",
+    "PermitsPartition, OwnerIsIncarnation, OneUse",
+    "PermitsPartition, TakeoverNeedsProof, OneUse",
+    "PermitsHandover, HandoverCarriesLeases, OneUse",
+    "PermitsList, DropNeedsSilence, OneUse",
+    "PermitsPartition, SilenceCoversLag, OneUse",
+    "PermitsList, ConfirmAfterPause, OneUse",
+    "PermitsList, ConfirmByWrite, OneUse",
+    "PermitsList, ConfirmChecksRevision, OneUse",
+    "PermitsList, StopWhenReplaced, OneUse",
+    "PermitsManifest, ShrinkKeepsLeases, OneUse",
+    "PermitsPartition, ClaimNeedsListing, OneUse",
+    "PermitsLiveness, DropProves, UsableAgain"
+  })
+  void failsWithoutGuard(String configuration, String guard, String property) {
+    assertRefuted(configuration, new Tlc.Constant(guard, "FALSE"), property);
+  }
+
+  /** Each of these is a condition that the surroundings of the protocol must keep. */
+  @ParameterizedTest
+  @CsvSource({
+    "PermitsLeases, Margin, 1, OneUse",
+    "PermitsList, MaxCuts, 1, OneUse",
+  })
+  void failsWithoutContract(String configuration, String constant, String value, String property) {
+    assertRefuted(configuration, new Tlc.Constant(constant, value), property);
+  }
+
+  private static void assertRefuted(String configuration, Tlc.Constant constant, String property) {
+    TlcResult result = Tlc.checkChanged(SPECIFICATION, configuration, constant, property);
+    Report.refuted(configuration, constant, result);
+    assertThat(result.output(), result.violated(), is(Optional.of(property)));
+  }
+}
--- /dev/null
+++ b/model/src/test/java/org/mustardstage/model/Report.java
@@ -0,0 +1,22 @@
+package org.mustardstage.model;
+
+/** Prints how many states a check took. */
+final class Report {
+  private Report() {}
+
+  /** Prints the size of the state space that was searched. */
+  static void held(String configuration, TlcResult result) {
+    System.out.printf("%s: %d distinct states%n", configuration, result.distinctStates());
+  }
+
+  /** Prints how many states were found before the violation. */
+  static void refuted(String configuration, Tlc.Constant constant, TlcResult result) {
+    System.out.printf(
+        "%s with %s = %s: violates %s after %d distinct states%n",
+        configuration,
+        constant.name(),
+        constant.value(),
+        result.violated().orElse("nothing"),
+        result.distinctStates());
+  }
+}
