--- a/core/src/main/java/org/mustardstage/core/lookup/Assignment.java
+++ b/core/src/main/java/org/mustardstage/core/lookup/Assignment.java
@@ -23,8 +23,7 @@
   private final ImmutableList<Member> members;
   private final ImmutableList<ImmutableList<Member>> buckets;
 
-  private Assignment(
-      ImmutableList<Member> members, ImmutableList<ImmutableList<Member>> buckets) {
+  private Assignment(ImmutableList<Member> members, ImmutableList<ImmutableList<Member>> buckets) {
     this.members = members;
     this.buckets = buckets;
   }
@@ -96,6 +95,11 @@
     throw new IllegalStateException("the bounds of all VMs add up to at least all buckets");
   }
 
+  /** Returns the VMs that the callers are assigned to. */
+  public ImmutableList<Member> members() {
+    return members;
+  }
+
   /**
    * Returns the VMs for the callers whose block starts at {@code blockStart}, first choice first.
    */
--- a/standins/src/main/java/org/mustardstage/standins/bench/capacity/CapacityMain.java
+++ b/standins/src/main/java/org/mustardstage/standins/bench/capacity/CapacityMain.java
@@ -126,8 +126,7 @@
     BlockTable blocks = BlockTable.of(manifest.callerBlocks());
     print("look-up: block table %.1f MiB", mebibytes(usedHeap() - heapBefore));
     long startNanos = System.nanoTime();
-    LookupTable table =
-        newTable(blocks, members, Optional.empty());
+    LookupTable table = newTable(blocks, members, Optional.empty());
     print("look-up: first table made in %.1f ms", millisSince(startNanos));
     startNanos = System.nanoTime();
     newTable(blocks, members.subList(1, members.size()), Optional.of(table));
