Stand-in of the platform, and schemas of the messages between processes

Cause: entry VMs need a table service, object store and VM list to run against. Change: mustardstage-platform on ActiveJ HTTP with the faults of the contract by command; schemas and generated classes of platform, endpoint, load and operator messages; JsonMessages reads and writes them. Conclusion: the control side can be written against it.

--- /dev/null
+++ b/schema/src/main/java/org/mustardstage/schema/JsonMessages.java
@@ -0,0 +1,59 @@
+package org.mustardstage.schema;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.base.Strings;
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import org.mustardstage.core.manifest.DocumentProblem;
+
+/** Reads and writes messages as JSON. */
+public final class JsonMessages {
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper()
+          .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+  private JsonMessages() {}
+
+  /**
+   * Returns the message that {@code json} holds, or all that is wrong with it.
+   *
+   * @param type a class that was generated from a schema of this module
+   */
+  public static <T> Either<List<DocumentProblem>, T> read(byte[] json, Class<T> type) {
+    return readTree(json)
+        .<List<DocumentProblem>>mapLeft(ImmutableList::of)
+        .flatMap(document -> SettingsReader.readDocument(document, type));
+  }
+
+  /** Returns the values of {@code json}, whatever their shape, or why it can't be read. */
+  public static Either<DocumentProblem, JsonNode> readTree(byte[] json) {
+    try {
+      return Either.right(MAPPER.readTree(json));
+    } catch (JsonProcessingException e) {
+      return Either.left(
+          new DocumentProblem.NotYaml(
+              e.getLocation() == null ? 0 : e.getLocation().getLineNr(),
+              e.getLocation() == null ? 0 : e.getLocation().getColumnNr(),
+              Strings.nullToEmpty(e.getOriginalMessage())));
+    } catch (IOException e) {
+      return Either.left(new DocumentProblem.NotYaml(0, 0, Strings.nullToEmpty(e.getMessage())));
+    }
+  }
+
+  /** Returns {@code message}, of a generated class or a tree of values, as JSON. */
+  public static byte[] write(Object message) {
+    try {
+      return MAPPER.writeValueAsBytes(message);
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException("generated classes can always be written", e);
+    }
+  }
+}
--- a/schema/src/main/java/org/mustardstage/schema/SettingsReader.java
+++ b/schema/src/main/java/org/mustardstage/schema/SettingsReader.java
@@ -30,8 +30,7 @@
         .flatMap(document -> readDocument(document, type));
   }
 
-  private static <T> Either<List<DocumentProblem>, T> readDocument(
-      JsonNode document, Class<T> type) {
+  static <T> Either<List<DocumentProblem>, T> readDocument(JsonNode document, Class<T> type) {
     ImmutableList<SchemaViolation> violations =
         VALIDATORS.computeIfAbsent(type, SchemaValidator::forClass).validate(document);
     if (!violations.isEmpty()) {
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/http/HttpProcess.java
@@ -0,0 +1,110 @@
+package org.mustardstage.standins.http;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpServer;
+import io.activej.net.AbstractReactiveServer.AcceptFilter;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** An HTTP server on an event loop with a thread of its own. */
+public final class HttpProcess {
+  private static final Logger logger = LoggerFactory.getLogger(HttpProcess.class);
+  private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+  private static final Duration KEEP_ALIVE = Duration.ofSeconds(60);
+
+  private final Eventloop eventloop;
+  private final HttpServer server;
+  private final Thread thread;
+
+  private HttpProcess(Eventloop eventloop, HttpServer server) {
+    this.eventloop = eventloop;
+    this.server = server;
+    this.thread = new Thread(eventloop, "stand-in");
+  }
+
+  /**
+   * Returns a process that accepts connections at {@code address}.
+   *
+   * @param acceptFilter tells for a connection, given the server, whether to refuse it
+   * @throws IOException if it can't listen there
+   */
+  public static HttpProcess start(
+      InetSocketAddress address,
+      Function<Eventloop, AsyncServlet> servlet,
+      ConnectionFilter acceptFilter)
+      throws IOException {
+    Eventloop eventloop = Eventloop.builder().withFatalErrorHandler((e, context) -> log(e)).build();
+    eventloop.keepAlive(true);
+    HttpServer[] built = new HttpServer[1];
+    AcceptFilter filter =
+        (channel, localAddress, remoteAddress, ssl) ->
+            acceptFilter.refuses(built[0].getConnectionsCount());
+    built[0] =
+        HttpServer.builder(eventloop, servlet.apply(eventloop))
+            .withListenAddress(address)
+            .withAcceptFilter(filter)
+            .withMaxBodySize(MAX_BODY_BYTES)
+            .withKeepAliveTimeout(KEEP_ALIVE)
+            .build();
+    HttpProcess process = new HttpProcess(eventloop, built[0]);
+    process.listen();
+    return process;
+  }
+
+  private void listen() throws IOException {
+    CountDownLatch started = new CountDownLatch(1);
+    IOException[] failure = new IOException[1];
+    eventloop.execute(
+        () -> {
+          try {
+            server.listen();
+          } catch (IOException e) {
+            failure[0] = e;
+            eventloop.keepAlive(false);
+          }
+          started.countDown();
+        });
+    thread.start();
+    awaitUninterruptibly(started);
+    if (failure[0] != null) {
+      throw failure[0];
+    }
+  }
+
+  /** Returns the address at which the server accepts connections. */
+  public InetSocketAddress address() {
+    return server.getBoundAddresses().getFirst();
+  }
+
+  /** Stops accepting connections, lets running requests end, and waits for the thread. */
+  public void stop() throws InterruptedException {
+    eventloop.execute(() -> server.close().whenComplete(() -> eventloop.keepAlive(false)));
+    thread.join();
+  }
+
+  /** Waits for the thread of the process. */
+  public void join() throws InterruptedException {
+    thread.join();
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    com.google.common.util.concurrent.Uninterruptibles.awaitUninterruptibly(latch);
+  }
+
+  private static void log(Throwable e) {
+    logger.error("a stand-in failed on a request", e);
+  }
+
+  /** Tells which connections to refuse. */
+  @FunctionalInterface
+  public interface ConnectionFilter {
+    /** Returns whether to refuse another connection when {@code openConnections} are open. */
+    boolean refuses(int openConnections);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/http/package-info.java
@@ -0,0 +1,2 @@
+/** What the stand-ins share: a process around an HTTP server, JSON bodies, names of headers. */
+package org.mustardstage.standins.http;
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/platform/LaggingVmList.java
@@ -0,0 +1,46 @@
+package org.mustardstage.standins.platform;
+
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.mustardstage.schema.generated.PlatformVm;
+import org.mustardstage.schema.generated.PlatformVmList;
+
+/** The list of entry VMs, which can be shown as it was some time ago. */
+final class LaggingVmList {
+  private static final int MAX_STATES = 10_000;
+
+  private final SortedMap<String, PlatformVm> vms = new TreeMap<>();
+  private final Deque<State> states = new ArrayDeque<>();
+
+  void put(PlatformVm vm, long nowMillis) {
+    vms.put(vm.getVm(), vm);
+    remember(nowMillis);
+  }
+
+  void remove(String vm, long nowMillis) {
+    vms.remove(vm);
+    remember(nowMillis);
+  }
+
+  /** Returns the list as it was {@code lagMillis} before {@code nowMillis}. */
+  PlatformVmList list(long nowMillis, long lagMillis) {
+    for (State state : states) {
+      if (state.sinceMillis() <= nowMillis - lagMillis) {
+        return new PlatformVmList().withVms(state.vms().values().asList());
+      }
+    }
+    return new PlatformVmList();
+  }
+
+  private void remember(long nowMillis) {
+    states.addFirst(new State(nowMillis, ImmutableSortedMap.copyOfSorted(vms)));
+    if (states.size() > MAX_STATES) {
+      states.removeLast();
+    }
+  }
+
+  private record State(long sinceMillis, ImmutableSortedMap<String, PlatformVm> vms) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/platform/PlatformMain.java
@@ -0,0 +1,54 @@
+package org.mustardstage.standins.platform;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.mustardstage.standins.http.HttpProcess;
+
+/** Runs the stand-in of the platform. */
+@Command(name = "mustardstage-platform", description = "Stand-in of the platform, for tests")
+public final class PlatformMain {
+  private static final int EXIT_USAGE = 2;
+  private static final int EXIT_FAILED = 1;
+
+  @Option(
+      name = {"--address"},
+      description = "IP number to listen at")
+  private String address = "127.0.0.1";
+
+  @Option(
+      name = {"--port"},
+      description = "Port to listen at; 0 for a free one")
+  private int port = 7100;
+
+  /** Runs the process until it is told to stop. */
+  public static void main(String[] arguments) throws InterruptedException {
+    try {
+      SingleCommand.singleCommand(PlatformMain.class).parse(arguments).run();
+    } catch (ParseException e) {
+      System.err.println("mustardstage-platform: " + e.getMessage());
+      System.exit(EXIT_USAGE);
+    } catch (IOException e) {
+      System.err.println("mustardstage-platform: can't listen: " + e.getMessage());
+      System.exit(EXIT_FAILED);
+    }
+  }
+
+  private void run() throws IOException, InterruptedException {
+    HttpProcess process = start(new InetSocketAddress(address, port));
+    System.out.println("ready " + process.address().getPort());
+    process.join();
+  }
+
+  /**
+   * Returns a running stand-in.
+   *
+   * @throws IOException if it can't listen at {@code address}
+   */
+  public static HttpProcess start(InetSocketAddress address) throws IOException {
+    return HttpProcess.start(address, PlatformServlet::new, openConnections -> false);
+  }
+}
