Stand-in of endpoints

Cause: entry VMs need back ends with slots, and the promises need a record of what ran. Change: mustardstage-endpoint with slots, service times by path, load reports that lag or lie, cold start, shedding, drain, cancel, deadlines, silent connections and a record of every run. Conclusion: at-most-once and not-run can be checked against the endpoints' own record.

--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/endpoint/EndpointMain.java
@@ -0,0 +1,108 @@
+package org.mustardstage.standins.endpoint;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.mustardstage.core.manifest.Endpoint;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.manifest.Manifest;
+import org.mustardstage.schema.generated.EndpointProfile;
+import org.mustardstage.standins.http.DocumentException;
+import org.mustardstage.standins.http.Documents;
+import org.mustardstage.standins.http.HttpProcess;
+
+/** Runs the stand-ins of endpoints that a manifest names. */
+@Command(name = "mustardstage-endpoint", description = "Stand-in of endpoints, for tests")
+public final class EndpointMain {
+  private static final int EXIT_FAILED = 1;
+  private static final int EXIT_USAGE = 2;
+
+  @Option(
+      name = {"--manifest"},
+      description = "File of the manifest that declares the endpoints")
+  @Required
+  private String manifestFile;
+
+  @Option(
+      name = {"--profile"},
+      description = "File that says how the endpoints behave")
+  @Required
+  private String profileFile;
+
+  @Option(
+      name = {"--endpoint"},
+      description = "Name of an endpoint to run; may be given again; all when left out")
+  private List<String> names = new ArrayList<>();
+
+  /** Runs the process until it is told to stop. */
+  public static void main(String[] arguments) throws InterruptedException {
+    try {
+      SingleCommand.singleCommand(EndpointMain.class).parse(arguments).run();
+    } catch (ParseException | DocumentException e) {
+      System.err.println("mustardstage-endpoint: " + e.getMessage());
+      System.exit(EXIT_USAGE);
+    } catch (IOException e) {
+      System.err.println("mustardstage-endpoint: can't listen: " + e.getMessage());
+      System.exit(EXIT_FAILED);
+    }
+  }
+
+  private void run() throws IOException, DocumentException, InterruptedException {
+    Manifest manifest = Documents.readManifest(manifestFile);
+    EndpointProfile profile = Documents.readSettings(profileFile, EndpointProfile.class);
+    List<HttpProcess> processes = new ArrayList<>();
+    for (Endpoint endpoint : chosen(manifest)) {
+      processes.add(start(endpoint, profile));
+    }
+    System.out.println("ready");
+    for (HttpProcess process : processes) {
+      process.join();
+    }
+  }
+
+  private List<Endpoint> chosen(Manifest manifest) throws DocumentException {
+    List<Endpoint> all =
+        manifest.services().stream().flatMap(service -> service.endpoints().stream()).toList();
+    for (String name : names) {
+      if (all.stream().noneMatch(endpoint -> endpoint.id().value().equals(name))) {
+        throw new DocumentException("no endpoint of the manifest is called " + name);
+      }
+    }
+    return all.stream()
+        .filter(endpoint -> names.isEmpty() || names.contains(endpoint.id().value()))
+        .toList();
+  }
+
+  /**
+   * Returns a running stand-in of {@code endpoint}.
+   *
+   * @throws IOException if it can't listen at the address of the endpoint
+   */
+  public static HttpProcess start(Endpoint endpoint, EndpointProfile profile) throws IOException {
+    EndpointServlet[] servlet = new EndpointServlet[1];
+    return HttpProcess.start(
+        socketAddress(endpoint.address()),
+        eventloop -> {
+          servlet[0] = new EndpointServlet(eventloop, endpoint, profile);
+          return servlet[0];
+        },
+        openConnections -> {
+          boolean refused = openConnections >= endpoint.connections();
+          if (refused) {
+            servlet[0].refusedConnection();
+          }
+          return refused;
+        });
+  }
+
+  private static InetSocketAddress socketAddress(HostAndPort address) throws IOException {
+    return new InetSocketAddress(InetAddress.getByName(address.host()), address.port());
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/endpoint/EndpointServlet.java
@@ -0,0 +1,204 @@
+package org.mustardstage.standins.endpoint;
+
+import com.google.common.base.Strings;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.HttpServerConnection;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.Reactor;
+import java.util.Collections;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.WeakHashMap;
+import org.mustardstage.core.manifest.Endpoint;
+import org.mustardstage.schema.JsonMessages;
+import org.mustardstage.schema.generated.EndpointCancellation;
+import org.mustardstage.schema.generated.EndpointFaults;
+import org.mustardstage.schema.generated.EndpointLoad;
+import org.mustardstage.schema.generated.EndpointPath;
+import org.mustardstage.schema.generated.EndpointProfile;
+import org.mustardstage.standins.http.Headers;
+import org.mustardstage.standins.http.JsonResponses;
+
+/** Runs requests in slots and answers the calls of an endpoint's API. */
+final class EndpointServlet implements AsyncServlet {
+  private static final String CONTROL = "/-/";
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+  private static final int GATEWAY_TIMEOUT = 504;
+
+  private final Reactor reactor;
+  private final String name;
+  private final EndpointProfile profile;
+  private final SlotMeter meter;
+  private final ServiceTimes serviceTimes;
+  private final RunRecord record = new RunRecord();
+  private final ActiveRuns runs;
+  private final Set<HttpServerConnection> usedConnections = newWeakSet();
+  private final Set<HttpServerConnection> silentConnections = newWeakSet();
+  private EndpointFaults faults = new EndpointFaults();
+  private boolean draining;
+  private long arrivals;
+
+  EndpointServlet(Reactor reactor, Endpoint endpoint, EndpointProfile profile) {
+    this.reactor = reactor;
+    this.name = endpoint.id().value();
+    this.profile = profile;
+    this.meter = new SlotMeter(endpoint.slots());
+    this.runs = new ActiveRuns(reactor, meter, record);
+    this.serviceTimes = new ServiceTimes(new SplittableRandom(profile.getSeed() ^ name.hashCode()));
+  }
+
+  /** Notes that a connection was refused because of the connection limit. */
+  void refusedConnection() {
+    record.refusedConnection();
+  }
+
+  @Override
+  public Promise<HttpResponse> serve(HttpRequest request) {
+    if (request.getPath().startsWith(CONTROL)) {
+      return serveControl(request);
+    }
+    HttpServerConnection connection = request.getConnection();
+    if (silentConnections.contains(connection)) {
+      return new SettablePromise<>();
+    }
+    usedConnections.add(connection);
+    return request
+        .loadBody()
+        .then(body -> admit(RunRequest.of(request, name + "-" + ++arrivals)))
+        .then(
+            response ->
+                silentConnections.contains(connection)
+                    ? new SettablePromise<>()
+                    : Promise.of(response));
+  }
+
+  private Promise<HttpResponse> admit(RunRequest request) {
+    Optional<RefusalCode> refusal = findRefusal(request);
+    if (refusal.isPresent()) {
+      record.refused();
+      return respond(
+          HttpResponse.ofCode(UNAVAILABLE).withHeader(Headers.REFUSED, refusal.get().code()));
+    }
+    return run(request);
+  }
+
+  private Optional<RefusalCode> findRefusal(RunRequest request) {
+    if (draining) {
+      return Optional.of(RefusalCode.DRAINING);
+    }
+    if (runs.wasCancelled(request.requestId())) {
+      return Optional.of(RefusalCode.CANCELLED);
+    }
+    if (request.deadlineMillis().orElse(Long.MAX_VALUE) <= 0) {
+      return Optional.of(RefusalCode.DEADLINE);
+    }
+    boolean hasSlot = meter.arrive();
+    return faults.getRefuse() || (!hasSlot && profile.getShedAboveSlots())
+        ? Optional.of(RefusalCode.OVERLOADED)
+        : Optional.empty();
+  }
+
+  private Promise<HttpResponse> run(RunRequest request) {
+    Optional<EndpointPath> path = findPath(request.path());
+    long runMillis = serviceTimes.nextMillis(path, slowness());
+    return runs.start(request, runMillis)
+        .then(
+            end ->
+                switch (end) {
+                  case COMPLETED -> respond(completed(request, path));
+                  case CANCELLED -> respond(HttpResponse.ofCode(UNAVAILABLE));
+                  case EXPIRED -> respond(HttpResponse.ofCode(GATEWAY_TIMEOUT));
+                });
+  }
+
+  private static HttpResponse.Builder completed(RunRequest request, Optional<EndpointPath> path) {
+    int answerBytes = Math.toIntExact(path.map(EndpointPath::getAnswerBytes).orElse(0L));
+    return HttpResponse.ofCode(OK)
+        .withBody(Answers.body(request.token().orElse(request.requestId()), answerBytes));
+  }
+
+  private Promise<HttpResponse> respond(HttpResponse.Builder response) {
+    response.withHeader(Headers.LOAD, reportedInUse() + "/" + meter.slots());
+    if (draining) {
+      response.withHeader(Headers.DRAINING, "true");
+    }
+    return response.toPromise();
+  }
+
+  private Optional<EndpointPath> findPath(String path) {
+    return profile.getPaths().stream()
+        .filter(candidate -> path.startsWith(candidate.getPathPrefix()))
+        .findFirst();
+  }
+
+  private double slowness() {
+    return faults.getSlowFactor() * (1 + (profile.getColdFactor() - 1) * (1 - warmth()));
+  }
+
+  private double warmth() {
+    long coldRequests = profile.getColdRequests();
+    return coldRequests == 0 ? 1 : Math.min(1, (double) arrivals / coldRequests);
+  }
+
+  private int reportedInUse() {
+    if (faults.getLieAboutLoad()) {
+      return 0;
+    }
+    long lagMillis = profile.getLoadReportLagMillis();
+    return lagMillis == 0 ? meter.inUse() : meter.inUseAt(reactor.currentTimeMillis() - lagMillis);
+  }
+
+  private Promise<HttpResponse> serveControl(HttpRequest request) {
+    String call = request.getMethod() + " " + request.getPath();
+    return switch (call) {
+      case "GET /-/load" -> JsonResponses.ok(load());
+      case "GET /-/record" -> JsonResponses.ok(record.toMessage(name, meter));
+      case "POST /-/cancel" ->
+          JsonResponses.ok(cancel(Strings.nullToEmpty(request.getQueryParameter("request"))));
+      case "POST /-/drain" -> drain();
+      case "POST /-/fault" ->
+          request
+              .loadBody()
+              .then(
+                  body ->
+                      JsonMessages.read(body.getArray(), EndpointFaults.class)
+                          .fold(JsonResponses::malformed, this::setFaults));
+      default -> JsonResponses.failure(NOT_FOUND, "not-found");
+    };
+  }
+
+  private EndpointLoad load() {
+    return new EndpointLoad()
+        .withSlotsInUse((long) reportedInUse())
+        .withSlots((long) meter.slots())
+        .withDraining(draining)
+        .withWarmth(warmth());
+  }
+
+  private EndpointCancellation cancel(String requestId) {
+    return new EndpointCancellation().withState(runs.cancel(requestId));
+  }
+
+  private Promise<HttpResponse> drain() {
+    draining = true;
+    return JsonResponses.ok(load());
+  }
+
+  private Promise<HttpResponse> setFaults(EndpointFaults newFaults) {
+    faults = newFaults;
+    if (faults.getSilentConnections()) {
+      silentConnections.addAll(usedConnections);
+    }
+    return JsonResponses.ok(faults);
+  }
+
+  private static Set<HttpServerConnection> newWeakSet() {
+    return Collections.newSetFromMap(new WeakHashMap<>());
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/endpoint/ServiceTimes.java
@@ -0,0 +1,29 @@
+package org.mustardstage.standins.endpoint;
+
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.mustardstage.schema.generated.EndpointPath;
+
+/** Draws the times that requests take, log-normal with a median and a 99th percentile. */
+final class ServiceTimes {
+  private static final double STANDARD_SCORE_P99 = 2.326;
+  private static final double MIN_MILLIS = 1;
+
+  private final RandomGenerator random;
+
+  ServiceTimes(RandomGenerator random) {
+    this.random = random;
+  }
+
+  /** Returns the time of the next request to {@code path}, multiplied by {@code factor}. */
+  long nextMillis(Optional<EndpointPath> path, double factor) {
+    double millis = path.map(this::drawMillis).orElse(MIN_MILLIS);
+    return Math.round(Math.max(MIN_MILLIS, millis * factor));
+  }
+
+  private double drawMillis(EndpointPath path) {
+    double median = path.getMedianMillis();
+    double spread = Math.log(Math.max(1, path.getP99Millis() / median)) / STANDARD_SCORE_P99;
+    return median * Math.exp(spread * random.nextGaussian());
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/http/Documents.java
@@ -0,0 +1,50 @@
+package org.mustardstage.standins.http;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.mustardstage.core.manifest.Manifest;
+import org.mustardstage.core.manifest.ManifestProblem;
+import org.mustardstage.schema.ManifestReader;
+import org.mustardstage.schema.SettingsReader;
+
+/** Reads the files that stand-ins need. */
+public final class Documents {
+  private Documents() {}
+
+  /**
+   * Returns the manifest in {@code file}.
+   *
+   * @throws DocumentException if there is none, or a wrong one
+   */
+  public static Manifest readManifest(String file) throws DocumentException {
+    return orThrow(file, ManifestReader.read(readText(file)));
+  }
+
+  /**
+   * Returns the settings in {@code file}.
+   *
+   * @throws DocumentException if there are none, or wrong ones
+   */
+  public static <T> T readSettings(String file, Class<T> type) throws DocumentException {
+    return orThrow(file, SettingsReader.read(readText(file), type));
+  }
+
+  private static String readText(String file) throws DocumentException {
+    try {
+      return Files.readString(Path.of(file));
+    } catch (IOException e) {
+      throw new DocumentException("can't read " + file + ": " + e);
+    }
+  }
+
+  private static <P extends ManifestProblem, T> T orThrow(String file, Either<List<P>, T> result)
+      throws DocumentException {
+    if (result.isLeft()) {
+      throw DocumentException.of(file, result.getLeft());
+    }
+    return result.get();
+  }
+}
--- a/standins/src/main/java/org/mustardstage/standins/http/HttpProcess.java
+++ b/standins/src/main/java/org/mustardstage/standins/http/HttpProcess.java
@@ -1,5 +1,6 @@
 package org.mustardstage.standins.http;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpServer;
@@ -94,7 +95,7 @@
   }
 
   private static void awaitUninterruptibly(CountDownLatch latch) {
-    com.google.common.util.concurrent.Uninterruptibles.awaitUninterruptibly(latch);
+    Uninterruptibles.awaitUninterruptibly(latch);
   }
 
   private static void log(Throwable e) {
