--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/load/Caller.java
@@ -0,0 +1,87 @@
+package org.mustardstage.standins.load;
+
+import com.google.common.collect.ImmutableList;
+import io.activej.promise.Promise;
+import io.activej.reactor.Reactor;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.manifest.HostAndPort;
+
+/** A caller that keeps look-up answers for their lifetime. */
+final class Caller {
+  private static final int MAX_LOOKUP_TRIES = 6;
+
+  private final Reactor reactor;
+  private final EntryVmClient client;
+  private final RandomGenerator random;
+  private final String address;
+  private final List<HostAndPort> knownEntryVms;
+  private final Map<ServiceName, CachedAnswer> cache = new HashMap<>();
+
+  /**
+   * Makes a caller.
+   *
+   * @param address the IP number that the caller states in look-ups
+   * @param knownEntryVms the entry VMs that it may ask first
+   */
+  Caller(
+      Reactor reactor,
+      EntryVmClient client,
+      RandomGenerator random,
+      String address,
+      List<HostAndPort> knownEntryVms) {
+    this.reactor = reactor;
+    this.client = client;
+    this.random = random;
+    this.address = address;
+    this.knownEntryVms = ImmutableList.copyOf(knownEntryVms);
+  }
+
+  /** Returns which entry VMs to use for {@code service}; empty if no entry VM tells. */
+  Promise<Optional<LookupAnswer>> lookup(ServiceName service) {
+    CachedAnswer cached = cache.get(service);
+    if (cached != null && reactor.currentTimeMillis() < cached.validUntilMillis()) {
+      return Promise.of(Optional.of(cached.answer()));
+    }
+    List<HostAndPort> candidates = new ArrayList<>(knownEntryVms);
+    Collections.shuffle(candidates, Random.from(random));
+    return ask(service, candidates.subList(0, Math.min(MAX_LOOKUP_TRIES, candidates.size())));
+  }
+
+  /** Forgets what it was told about {@code service}. */
+  void forget(ServiceName service) {
+    cache.remove(service);
+  }
+
+  RandomGenerator random() {
+    return random;
+  }
+
+  private Promise<Optional<LookupAnswer>> ask(ServiceName service, List<HostAndPort> candidates) {
+    if (candidates.isEmpty()) {
+      return Promise.of(Optional.empty());
+    }
+    return client
+        .lookup(candidates.getFirst(), service, address)
+        .then(
+            answer ->
+                answer.isPresent()
+                    ? Promise.of(Optional.of(keep(service, answer.get())))
+                    : ask(service, candidates.subList(1, candidates.size())));
+  }
+
+  private LookupAnswer keep(ServiceName service, LookupAnswer answer) {
+    long validUntilMillis = reactor.currentTimeMillis() + answer.lifetimeMillis();
+    cache.put(service, new CachedAnswer(answer, validUntilMillis));
+    return answer;
+  }
+
+  private record CachedAnswer(LookupAnswer answer, long validUntilMillis) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/load/LoadRecord.java
@@ -0,0 +1,62 @@
+package org.mustardstage.standins.load;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.mustardstage.schema.generated.LoadCall;
+import org.mustardstage.schema.generated.LoadPlan;
+import org.mustardstage.schema.generated.LoadSummary;
+
+/** Remembers what became of every request. */
+final class LoadRecord {
+  private final Map<LoadCall, CallStatistics> statistics = new LinkedHashMap<>();
+  private final List<String> notRunTokens = new ArrayList<>();
+  private final List<String> nonIdempotentTokens = new ArrayList<>();
+  private final List<String> answeredTokens = new ArrayList<>();
+  private final List<String> unknownTokens = new ArrayList<>();
+  private long planned;
+
+  LoadRecord(LoadPlan plan) {
+    plan.getCalls().forEach(call -> statistics.put(call, new CallStatistics()));
+  }
+
+  void planned(PlannedRequest request) {
+    planned++;
+    if (!request.call().idempotent()) {
+      nonIdempotentTokens.add(request.token());
+    }
+  }
+
+  void ended(
+      LoadCall call,
+      PlannedRequest request,
+      FinalOutcome outcome,
+      int attempts,
+      long latencyNanos) {
+    statistics.get(call).count(outcome, attempts, latencyNanos);
+    switch (outcome) {
+      case FinalOutcome.Answered answered -> {
+        if (!request.call().idempotent()) {
+          answeredTokens.add(request.token());
+        }
+      }
+      case FinalOutcome.NotRun notRun -> notRunTokens.add(request.token());
+      case FinalOutcome.Unknown unknown -> unknownTokens.add(request.token());
+      case FinalOutcome.FailedByEndpoint failed -> {}
+    }
+  }
+
+  LoadSummary toMessage() {
+    return new LoadSummary()
+        .withPlanned(planned)
+        .withCalls(
+            statistics.entrySet().stream()
+                .map(entry -> entry.getValue().toMessage(entry.getKey()))
+                .toList())
+        .withNotRunTokens(notRunTokens)
+        .withNonIdempotentTokens(nonIdempotentTokens)
+        .withAnsweredTokens(answeredTokens)
+        .withUnknownTokens(unknownTokens);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/load/LoadRunner.java
@@ -0,0 +1,119 @@
+package org.mustardstage.standins.load;
+
+import com.google.common.net.InetAddresses;
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.mustardstage.core.id.CallName;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.manifest.Call;
+import org.mustardstage.core.manifest.CallerBlock;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.manifest.Manifest;
+import org.mustardstage.schema.generated.LoadCall;
+import org.mustardstage.schema.generated.LoadPlan;
+import org.mustardstage.schema.generated.LoadSummary;
+
+/** Sends the load of a plan, open-loop, from one event loop. */
+final class LoadRunner {
+  private final Eventloop eventloop;
+  private final Manifest manifest;
+  private final LoadPlan plan;
+  private final EntryVmClient client;
+  private final SplittableRandom random;
+  private final Arrivals arrivals;
+  private final LoadRecord record;
+  private final List<Caller> callers = new ArrayList<>();
+  private final SettablePromise<LoadSummary> finished = new SettablePromise<>();
+  private long startMillis;
+  private long startNanos;
+  private long pending;
+  private long lastToken;
+
+  LoadRunner(
+      Eventloop eventloop, Manifest manifest, LoadPlan plan, List<HostAndPort> knownEntryVms) {
+    this.eventloop = eventloop;
+    this.manifest = manifest;
+    this.plan = plan;
+    this.client = new EntryVmClient(eventloop);
+    this.random = new SplittableRandom(plan.getSeed());
+    this.arrivals = new Arrivals(plan, random.split());
+    this.record = new LoadRecord(plan);
+    for (int i = 0; i < plan.getCallers(); i++) {
+      callers.add(new Caller(eventloop, client, random.split(), callerAddress(), knownEntryVms));
+    }
+  }
+
+  /** Starts the load; the promise ends when the last request has ended. */
+  Promise<LoadSummary> start() {
+    startMillis = eventloop.currentTimeMillis();
+    startNanos = System.nanoTime();
+    sendDue();
+    return finished;
+  }
+
+  private void sendDue() {
+    long nowMillis = eventloop.currentTimeMillis() - startMillis;
+    while (arrivals.hasNext() && arrivals.nextDueMillis() <= nowMillis) {
+      send(arrivals.next());
+    }
+    if (arrivals.hasNext()) {
+      eventloop.schedule(startMillis + arrivals.nextDueMillis(), this::sendDue);
+    } else {
+      finishWhenIdle();
+    }
+  }
+
+  private void send(Arrivals.Arrival arrival) {
+    PlannedRequest request = request(arrival.call());
+    RequestRun run =
+        new RequestRun(
+            eventloop,
+            client,
+            callers.get(arrival.caller()),
+            request,
+            Math.toIntExact(plan.getMaxAttempts()));
+    record.planned(request);
+    pending++;
+    run.start().whenResult(outcome -> end(arrival, request, run, outcome));
+  }
+
+  private void end(
+      Arrivals.Arrival arrival, PlannedRequest request, RequestRun run, FinalOutcome outcome) {
+    long dueNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(arrival.dueMillis());
+    long latencyNanos = Math.max(0, System.nanoTime() - dueNanos);
+    record.ended(arrival.call(), request, outcome, run.attempts(), latencyNanos);
+    pending--;
+    finishWhenIdle();
+  }
+
+  private void finishWhenIdle() {
+    if (pending == 0 && !arrivals.hasNext() && !finished.isComplete()) {
+      finished.set(record.toMessage());
+    }
+  }
+
+  private PlannedRequest request(LoadCall planned) {
+    ServiceName service = new ServiceName(planned.getService());
+    Call call =
+        manifest.findService(service).orElseThrow().calls().stream()
+            .filter(candidate -> candidate.name().equals(new CallName(planned.getCall())))
+            .findFirst()
+            .orElseThrow();
+    String token = "t" + plan.getSeed() + "-" + ++lastToken;
+    int bodyBytes = Math.toIntExact(planned.getBodyBytes());
+    return new PlannedRequest(service, call, token, bodyBytes, Optional.empty());
+  }
+
+  private String callerAddress() {
+    List<CallerBlock> blocks = manifest.callerBlocks();
+    CallerBlock block = blocks.get(random.nextInt(blocks.size()));
+    long address = random.nextLong(block.firstAddress(), block.lastAddress() + 1);
+    return InetAddresses.fromInteger((int) address).getHostAddress();
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/org/mustardstage/standins/endpoint/EndpointServletTest.java
@@ -0,0 +1,178 @@
+package org.mustardstage.standins.endpoint;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.Arrays;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.Endpoint;
+import org.mustardstage.schema.SettingsReader;
+import org.mustardstage.schema.generated.EndpointProfile;
+import org.mustardstage.standins.http.HttpProcess;
+import org.mustardstage.standins.http.TestHttp;
+
+class EndpointServletTest {
+  private static final int SLOTS = 2;
+  private static final String PROFILE =
+      """
+      paths:
+        - {pathPrefix: /slow, medianMillis: 600000, p99Millis: 600000}
+        - {pathPrefix: /large, medianMillis: 1, p99Millis: 1, answerBytes: 100000}
+        - {pathPrefix: /, medianMillis: 1, p99Millis: 1}
+      """;
+
+  private HttpProcess process;
+  private TestHttp http;
+
+  @BeforeEach
+  void start() throws IOException {
+    Endpoint endpoint =
+        new Endpoint(
+            new EndpointId("desk-1"),
+            new ZoneId("regina-a"),
+            TestHttp.hostAndPort(TestHttp.freeAddress()),
+            SLOTS,
+            100);
+    EndpointProfile profile = SettingsReader.read(PROFILE, EndpointProfile.class).get();
+    process = EndpointMain.start(endpoint, profile);
+    http = new TestHttp(endpoint.address());
+  }
+
+  @AfterEach
+  void stop() throws InterruptedException {
+    cancel("slow-1");
+    cancel("slow-2");
+    process.stop();
+  }
+
+  @Test
+  void answersWithTheTokenOfTheCaller() {
+    HttpResponse<byte[]> answer = http.call("GET", "/large?token=abc", "");
+
+    assertThat(answer.body().length, equalTo(100_000));
+    assertThat(Answers.belongs(answer.body(), "abc"), equalTo(true));
+    assertThat(Answers.belongs(answer.body(), "abd"), equalTo(false));
+  }
+
+  @Test
+  void partOfAnAnswerBelongsToNobody() {
+    byte[] whole = Answers.body("abc", 1000);
+
+    assertThat(Answers.belongs(Arrays.copyOf(whole, 999), "abc"), equalTo(false));
+  }
+
+  @Test
+  void refusesAndCountsWhatArrivesAboveItsSlots() {
+    startSlow("slow-1");
+    startSlow("slow-2");
+
+    assertThat(refusal(http.call("GET", "/x", "")), equalTo("overloaded"));
+    JsonNode record = record();
+    assertThat(record.path("overloadViolations").asInt(), equalTo(1));
+    assertThat(record.path("maxSlotsInUse").asInt(), equalTo(SLOTS + 1));
+    assertThat(record.path("runRequestIds").size(), equalTo(SLOTS));
+  }
+
+  @Test
+  void cancelFreesTheSlot() {
+    startSlow("slow-1");
+
+    assertThat(cancel("slow-1"), equalTo("cancelled"));
+    assertThat(http.json("GET", "/-/load", "").path("slotsInUse").asInt(), equalTo(0));
+    assertThat(cancel("slow-1"), equalTo("done"));
+  }
+
+  @Test
+  void requestCancelledBeforeItArrivesNeverRuns() {
+    assertThat(cancel("late"), equalTo("not-run"));
+
+    HttpResponse<byte[]> answer = http.call("GET", "/x", "", "Mustardstage-Request-Id", "late");
+    assertThat(refusal(answer), equalTo("cancelled"));
+    assertThat(record().path("runRequestIds").size(), equalTo(0));
+  }
+
+  @Test
+  void endsRunsAtTheirDeadline() {
+    HttpResponse<byte[]> answer =
+        http.call("GET", "/slow", "", "Mustardstage-Deadline-Millis", "5");
+
+    assertThat(answer.statusCode(), equalTo(504));
+    assertThat(record().path("expired").asInt(), equalTo(1));
+    assertThat(http.json("GET", "/-/load", "").path("slotsInUse").asInt(), equalTo(0));
+  }
+
+  @Test
+  void refusesWhatHasNoTimeLeft() {
+    assertThat(
+        refusal(http.call("GET", "/x", "", "Mustardstage-Deadline-Millis", "0")),
+        equalTo("deadline"));
+  }
+
+  @Test
+  void drainingEndpointTakesNoWork() {
+    http.call("POST", "/-/drain", "");
+
+    HttpResponse<byte[]> answer = http.call("GET", "/x", "");
+    assertThat(refusal(answer), equalTo("draining"));
+    assertThat(answer.headers().firstValue("Mustardstage-Draining").get(), equalTo("true"));
+  }
+
+  @Test
+  void countsRunsByKeyAndToken() {
+    for (int i = 0; i < 2; i++) {
+      http.call("POST", "/x?token=t", "body", "Mustardstage-Idempotency-Key", "vm/1/t");
+    }
+
+    assertThat(record().path("runsByKey").path("vm/1/t").asInt(), equalTo(2));
+    assertThat(record().path("runsByToken").path("t").asInt(), equalTo(2));
+  }
+
+  @Test
+  void lyingEndpointReportsNoLoad() {
+    startSlow("slow-1");
+    http.call("POST", "/-/fault", "{\"lieAboutLoad\": true}");
+
+    HttpResponse<byte[]> answer = http.call("GET", "/x", "");
+    assertThat(answer.headers().firstValue("Mustardstage-Load").get(), equalTo("0/2"));
+  }
+
+  @Test
+  void usedConnectionsGoSilentAndNewOnesWork() {
+    http.call("GET", "/x", "");
+    http.call("POST", "/-/fault", "{\"silentConnections\": true}");
+    CompletableFuture<HttpResponse<byte[]>> silent = http.callAsync("GET", "/y", "");
+
+    HttpResponse<byte[]> answer = http.call("GET", "/z?token=new", "");
+    assertThat(Answers.belongs(answer.body(), "new"), equalTo(true));
+    assertThat(silent.isDone(), equalTo(false));
+    assertThat(record().path("runRequestIds").size(), equalTo(2));
+  }
+
+  private void startSlow(String requestId) {
+    CompletableFuture<HttpResponse<byte[]>> answer =
+        http.callAsync("GET", "/slow", "", "Mustardstage-Request-Id", requestId);
+    while (!answer.isDone() && !record().path("runRequestIds").toString().contains(requestId)) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private String cancel(String requestId) {
+    return http.json("POST", "/-/cancel?request=" + requestId, "").path("state").asText();
+  }
+
+  private JsonNode record() {
+    return http.json("GET", "/-/record", "");
+  }
+
+  private static String refusal(HttpResponse<byte[]> answer) {
+    return answer.headers().firstValue("Mustardstage-Refused").orElse("none");
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/org/mustardstage/standins/load/FakeEntryVm.java
@@ -0,0 +1,82 @@
+package org.mustardstage.standins.load;
+
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiFunction;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.standins.endpoint.Answers;
+import org.mustardstage.standins.http.Headers;
+import org.mustardstage.standins.http.HttpProcess;
+import org.mustardstage.standins.http.JsonResponses;
+import org.mustardstage.standins.http.TestHttp;
+
+/** An entry VM that answers look-ups, and requests as a script tells by their number. */
+final class FakeEntryVm {
+  private final BiFunction<Integer, String, HttpResponse.Builder> script;
+  private final List<HostAndPort> lookupAnswer;
+  private final HttpProcess process;
+  final List<String> keys = Collections.synchronizedList(new ArrayList<>());
+  private int requests;
+  int lookups;
+
+  FakeEntryVm(
+      InetSocketAddress address,
+      List<HostAndPort> lookupAnswer,
+      BiFunction<Integer, String, HttpResponse.Builder> script)
+      throws IOException {
+    this.lookupAnswer = lookupAnswer;
+    this.script = script;
+    AsyncServlet servlet = this::serve;
+    this.process = HttpProcess.start(address, eventloop -> servlet, connections -> false);
+  }
+
+  HostAndPort address() {
+    return TestHttp.hostAndPort(process.address());
+  }
+
+  void stop() throws InterruptedException {
+    process.stop();
+  }
+
+  static HttpResponse.Builder answer(String token) {
+    return HttpResponse.ok200()
+        .withHeader(Headers.OUTCOME, "answered")
+        .withBody(Answers.body(token, 100));
+  }
+
+  static HttpResponse.Builder failure(int status, String outcome) {
+    return HttpResponse.ofCode(status)
+        .withHeader(Headers.OUTCOME, outcome)
+        .withHeader(Headers.ERROR, "scripted")
+        .withHeader(Headers.RETRY_AFTER_MILLIS, "1");
+  }
+
+  private Promise<HttpResponse> serve(HttpRequest request) {
+    if (request.getPath().equals("/v1/lookup")) {
+      lookups++;
+      return JsonResponses.ok(
+          Map.of(
+              "lifetimeMillis",
+              60_000,
+              "keyPrefix",
+              "vm/1",
+              "entryVms",
+              lookupAnswer.stream()
+                  .map(vm -> Map.of("address", vm.toString(), "weight", 1))
+                  .toList()));
+    }
+    String key = request.getHeader(Headers.IDEMPOTENCY_KEY);
+    if (key != null) {
+      keys.add(key);
+    }
+    return script.apply(++requests, request.getQueryParameter("token")).toPromise();
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/org/mustardstage/standins/load/LoadRunnerTest.java
@@ -0,0 +1,182 @@
+package org.mustardstage.standins.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.activej.http.HttpResponse;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.function.BiFunction;
+import org.junit.jupiter.api.Test;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.manifest.Manifest;
+import org.mustardstage.schema.ManifestReader;
+import org.mustardstage.schema.SettingsReader;
+import org.mustardstage.schema.generated.LoadCallSummary;
+import org.mustardstage.schema.generated.LoadPlan;
+import org.mustardstage.schema.generated.LoadSummary;
+import org.mustardstage.standins.http.TestHttp;
+
+class LoadRunnerTest {
+  private static final Manifest MANIFEST =
+      ManifestReader.read(
+              """
+              schemaVersion: 1
+              deployment: sample
+              answerLifetimeMillis: 2000
+              zones: [{name: regina-a, region: regina}]
+              services:
+                - name: desk
+                  objective: latency
+                  calls:
+                    - {name: book, method: POST, pathPrefix: /bookings, idempotent: false, priority: non-idempotent, deadlineMillis: 20000}
+                    - {name: sample, method: GET, pathPrefix: /samples, idempotent: true, priority: interactive, deadlineMillis: 20000}
+                  endpoints:
+                    - {name: desk-1, zone: regina-a, address: "127.0.0.1:1", slots: 1, connections: 1}
+              callerBlocks: [{prefix: 10.0.0.0/8, region: regina}]
+              """)
+          .get();
+
+  @Test
+  void everyRequestIsAnsweredOnce() throws Exception {
+    LoadSummary summary = runOne("sample", (number, token) -> FakeEntryVm.answer(token));
+
+    LoadCallSummary call = summary.getCalls().getFirst();
+    assertThat(call.getAnswered(), equalTo(summary.getPlanned()));
+    assertThat(call.getAttempts(), equalTo(summary.getPlanned()));
+    assertThat(call.getWrongAnswers(), equalTo(0L));
+    assertThat(call.getP50Micros(), lessThanOrEqualTo(call.getP999Micros()));
+  }
+
+  @Test
+  void sameSeedPlansTheSameRequests() throws Exception {
+    LoadSummary first = runOne("book", (number, token) -> FakeEntryVm.answer(token));
+    LoadSummary second = runOne("book", (number, token) -> FakeEntryVm.answer(token));
+
+    assertThat(second.getNonIdempotentTokens(), equalTo(first.getNonIdempotentTokens()));
+  }
+
+  @Test
+  void answerOfAnotherRequestIsWrong() throws Exception {
+    LoadSummary summary =
+        runOne("sample", (number, token) -> FakeEntryVm.answer(number == 3 ? "other" : token));
+
+    assertThat(summary.getCalls().getFirst().getWrongAnswers(), equalTo(1L));
+  }
+
+  @Test
+  void retriesWhatWasNotRun() throws Exception {
+    LoadSummary summary =
+        runOne(
+            "sample",
+            (number, token) ->
+                number <= 3 ? FakeEntryVm.failure(503, "not-run") : FakeEntryVm.answer(token));
+
+    assertThat(summary.getCalls().getFirst().getAnswered(), equalTo(summary.getPlanned()));
+    assertThat(summary.getNotRunTokens(), empty());
+  }
+
+  @Test
+  void reportsAsNotRunWhatNeverRan() throws Exception {
+    LoadSummary summary = runOne("book", (number, token) -> FakeEntryVm.failure(503, "not-run"));
+
+    assertThat(summary.getNotRunTokens(), equalTo(summary.getNonIdempotentTokens()));
+    assertThat(summary.getUnknownTokens(), empty());
+  }
+
+  @Test
+  void unknownTryMakesTheWholeRequestUnknown() throws Exception {
+    LoadSummary summary =
+        runOne(
+            "book",
+            (number, token) ->
+                FakeEntryVm.failure(503, number == 1 ? "outcome-unknown" : "not-run"));
+
+    assertThat(summary.getUnknownTokens().size(), equalTo(1));
+  }
+
+  @Test
+  void retryOfNonIdempotentCallKeepsItsKey() throws Exception {
+    FakeEntryVm entryVm =
+        start(
+            List.of(),
+            (number, token) ->
+                number == 1
+                    ? FakeEntryVm.failure(502, "outcome-unknown")
+                    : FakeEntryVm.answer(token));
+    LoadSummary summary = run("book", entryVm, List.of(entryVm.address()));
+
+    long planned = summary.getPlanned();
+    assertThat((long) entryVm.keys.size(), equalTo(planned + 1));
+    assertThat((long) new HashSet<>(entryVm.keys).size(), equalTo(planned));
+    assertThat(entryVm.keys.getFirst().startsWith("vm/1/t"), equalTo(true));
+  }
+
+  @Test
+  void asksAnotherEntryVmWhenNoConnectionCanBeMade() throws Exception {
+    HostAndPort nobody = TestHttp.hostAndPort(TestHttp.freeAddress());
+    FakeEntryVm entryVm = start(List.of(nobody), (number, token) -> FakeEntryVm.answer(token));
+    LoadSummary summary = run("book", entryVm, List.of(nobody, entryVm.address()));
+
+    assertThat(summary.getCalls().getFirst().getAnswered(), equalTo(summary.getPlanned()));
+  }
+
+  @Test
+  void withoutAnyEntryVmNothingWasRun() throws Exception {
+    HostAndPort nobody = TestHttp.hostAndPort(TestHttp.freeAddress());
+    LoadSummary summary = LoadMain.run(MANIFEST, plan("book"), List.of(nobody));
+
+    assertThat(summary.getNotRunTokens(), equalTo(summary.getNonIdempotentTokens()));
+  }
+
+  @Test
+  void keepsLookupAnswersForTheirLifetime() throws Exception {
+    FakeEntryVm entryVm = start(List.of(), (number, token) -> FakeEntryVm.answer(token));
+    run("sample", entryVm, List.of(entryVm.address()));
+
+    assertThat(entryVm.lookups, lessThanOrEqualTo(2 * 10));
+  }
+
+  private static LoadSummary runOne(
+      String call, BiFunction<Integer, String, HttpResponse.Builder> script) throws Exception {
+    FakeEntryVm entryVm = start(List.of(), script);
+    return run(call, entryVm, List.of(entryVm.address()));
+  }
+
+  private static FakeEntryVm start(
+      List<HostAndPort> others, BiFunction<Integer, String, HttpResponse.Builder> script)
+      throws IOException {
+    InetSocketAddress address = TestHttp.freeAddress();
+    List<HostAndPort> all = new ArrayList<>(others);
+    all.add(TestHttp.hostAndPort(address));
+    return new FakeEntryVm(address, all, script);
+  }
+
+  private static LoadSummary run(String call, FakeEntryVm entryVm, List<HostAndPort> known)
+      throws InterruptedException {
+    try {
+      return LoadMain.run(MANIFEST, plan(call), known);
+    } finally {
+      entryVm.stop();
+    }
+  }
+
+  private static LoadPlan plan(String call) {
+    return SettingsReader.read(
+            """
+            seed: 7
+            requestsPerSecond: 200
+            durationMillis: 300
+            callers: 10
+            calls: [{service: desk, call: %s, weight: 1}]
+            """
+                .formatted(call),
+            LoadPlan.class)
+        .get();
+  }
+}
