Stand-ins, load tool, operators' command, launchers and examples

Cause: nothing could be run as a product, and promises had no outside record. Change: mustardstage-load (open loop, seeded, latency from when a request was due, retries only what was not run or under the same key, checks that each answer is whole and the caller's own); mustardstage check, submit, status, explain, audit, manifest show and diff, completion, help with documented exit codes; launchers in bin; manifests and settings of both deployments.

--- /dev/null
+++ b/cli/src/main/java/org/mustardstage/cli/LineDifference.java
@@ -0,0 +1,32 @@
+package org.mustardstage.cli;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+
+/** Finds the lines that differ between two texts. */
+final class LineDifference {
+  private LineDifference() {}
+
+  /**
+   * Returns the lines to take out of {@code before}, marked by a minus, and to put in, marked by a
+   * plus, to get {@code after}. What the texts have in common at the start and the end is left out.
+   */
+  static ImmutableList<String> of(List<String> before, List<String> after) {
+    int start = 0;
+    while (start < Math.min(before.size(), after.size())
+        && before.get(start).equals(after.get(start))) {
+      start++;
+    }
+    List<String> restBefore = before.subList(start, before.size());
+    List<String> restAfter = after.subList(start, after.size());
+    int common = 0;
+    while (common < Math.min(restBefore.size(), restAfter.size())
+        && restBefore.reversed().get(common).equals(restAfter.reversed().get(common))) {
+      common++;
+    }
+    ImmutableList.Builder<String> difference = ImmutableList.builder();
+    restBefore.subList(0, restBefore.size() - common).forEach(line -> difference.add("- " + line));
+    restAfter.subList(0, restAfter.size() - common).forEach(line -> difference.add("+ " + line));
+    return difference.build();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/mustardstage/cli/OperatorClient.java
@@ -0,0 +1,77 @@
+package org.mustardstage.cli;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.List;
+
+/** Calls the operator API of the first entry VM of a list that can be reached. */
+final class OperatorClient {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(30);
+  private static final String VERSION_HEADER = "Mustardstage-Version";
+
+  private final List<HostAndPort> entryVms;
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(CONNECT_TIMEOUT)
+          .build();
+
+  OperatorClient(List<HostAndPort> entryVms) {
+    this.entryVms = ImmutableList.copyOf(entryVms);
+  }
+
+  /** Reads {@code path}. */
+  OperatorAnswer get(String path) {
+    return call(path, HttpRequest.newBuilder().GET());
+  }
+
+  /** Sends {@code json} to {@code path}. */
+  OperatorAnswer post(String path, byte[] json) {
+    return call(
+        path,
+        HttpRequest.newBuilder()
+            .header("Content-Type", "application/json")
+            .POST(BodyPublishers.ofByteArray(json)));
+  }
+
+  private OperatorAnswer call(String path, HttpRequest.Builder request) {
+    OperatorAnswer answer = new OperatorAnswer.Unreachable("no entry VM was named");
+    for (HostAndPort entryVm : entryVms) {
+      answer = callOne(entryVm, path, request);
+      if (!(answer instanceof OperatorAnswer.Unreachable)) {
+        return answer;
+      }
+    }
+    return answer;
+  }
+
+  private OperatorAnswer callOne(HostAndPort entryVm, String path, HttpRequest.Builder request) {
+    HttpRequest built =
+        request.uri(URI.create("http://" + entryVm + path)).timeout(REQUEST_TIMEOUT).build();
+    try {
+      HttpResponse<String> response = client.send(built, BodyHandlers.ofString());
+      return new OperatorAnswer.Received(
+          response.statusCode(),
+          response.headers().firstValue(VERSION_HEADER).orElse(""),
+          response.body());
+    } catch (ConnectException | HttpConnectTimeoutException e) {
+      return new OperatorAnswer.Unreachable("can't reach " + entryVm);
+    } catch (IOException e) {
+      return new OperatorAnswer.Broken(entryVm + " did not answer: " + e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return new OperatorAnswer.Broken("interrupted");
+    }
+  }
+}
--- a/schema/src/main/java/org/mustardstage/schema/SchemaValidator.java
+++ b/schema/src/main/java/org/mustardstage/schema/SchemaValidator.java
@@ -5,8 +5,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.base.Preconditions;
 import com.google.common.collect.ImmutableList;
+import com.networknt.schema.JsonMetaSchema;
 import com.networknt.schema.JsonSchema;
 import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.NonValidationKeyword;
 import com.networknt.schema.SpecVersion.VersionFlag;
 import com.networknt.schema.ValidationMessage;
 import java.io.IOException;
@@ -16,8 +18,9 @@
 
 /** Holds documents against one of the JSON Schemas of this module. */
 final class SchemaValidator {
-  private static final JsonSchemaFactory FACTORY =
-      JsonSchemaFactory.getInstance(VersionFlag.V202012);
+  private static final ImmutableList<String> GENERATOR_KEYWORDS =
+      ImmutableList.of("javaType", "existingJavaType");
+  private static final JsonSchemaFactory FACTORY = newFactory();
 
   private final JsonSchema schema;
 
@@ -44,4 +47,12 @@
         .distinct()
         .collect(toImmutableList());
   }
+
+  private static JsonSchemaFactory newFactory() {
+    JsonMetaSchema.Builder dialect = JsonMetaSchema.builder(JsonMetaSchema.getV202012());
+    GENERATOR_KEYWORDS.forEach(keyword -> dialect.keyword(new NonValidationKeyword(keyword)));
+    return JsonSchemaFactory.builder(JsonSchemaFactory.getInstance(VersionFlag.V202012))
+        .metaSchema(dialect.build())
+        .build();
+  }
 }
--- a/standins/src/main/java/org/mustardstage/standins/load/EntryVmClient.java
+++ b/standins/src/main/java/org/mustardstage/standins/load/EntryVmClient.java
@@ -51,7 +51,7 @@
     String url =
         "http://" + entryVm + "/v1/lookup?service=" + service + "&address=" + callerAddress;
     return Promises.timeout(LOOKUP_TIMEOUT, client.request(HttpRequest.get(url).build()))
-        .then(response -> response.loadBody().map(body -> parseLookup(response, body.asArray())))
+        .then(response -> response.loadBody().map(body -> parseLookup(response, body.getArray())))
         .then((answer, e) -> Promise.of(e == null ? answer : Optional.empty()));
   }
 
@@ -63,7 +63,7 @@
             .request(httpRequest)
             .then(
                 response ->
-                    response.loadBody().map(body -> classify(request, response, body.asArray())));
+                    response.loadBody().map(body -> classify(request, response, body.getArray())));
     return Promises.timeout(remainingMillis + ANSWER_GRACE_MILLIS, result)
         .then((answer, e) -> Promise.of(e == null ? answer : failure(httpRequest, e)));
   }
