--- a/core/src/main/java/org/mustardstage/core/outcome/KeyMemory.java
+++ b/core/src/main/java/org/mustardstage/core/outcome/KeyMemory.java
@@ -47,9 +47,6 @@
     if (!makeRoom()) {
       return new KeyClaim.Full();
     }
-    if (key.prefix().issueEpoch() <= forgetHorizonEpoch) {
-      return new KeyClaim.Forgotten();
-    }
     entries.put(key, new Entry(key, requestDigest));
     return new KeyClaim.Run();
   }
--- a/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnection.java
@@ -33,6 +33,7 @@
   private boolean closed;
   private boolean byteSent;
   private boolean connected;
+  private boolean endedByPeer;
   private long lastReadNanos = createdNanos;
 
   /**
@@ -99,6 +100,11 @@
     return byteSent;
   }
 
+  /** Returns whether the other side closed or reset the connection. */
+  boolean wasEndedByPeer() {
+    return endedByPeer;
+  }
+
   /** Returns when the last byte was read, or the connection was created. */
   long lastReadNanos() {
     return lastReadNanos;
@@ -135,10 +141,14 @@
     public void onReadTimeout(TcpSocket socket) {}
 
     @Override
-    public void onReadEndOfStream(TcpSocket socket) {}
+    public void onReadEndOfStream(TcpSocket socket) {
+      endedByPeer = true;
+    }
 
     @Override
-    public void onReadError(TcpSocket socket, IOException e) {}
+    public void onReadError(TcpSocket socket, IOException e) {
+      endedByPeer = true;
+    }
 
     @Override
     public void onWriteTimeout(TcpSocket socket) {}
--- a/entry/src/main/java/org/mustardstage/entry/traffic/EndpointTry.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointTry.java
@@ -196,10 +196,8 @@
           UseEnd.Result.NEVER_SENT);
       return;
     }
-    mayHaveRun(
-        e instanceof MalformedHttpException
-            ? UnknownCause.ANSWER_MALFORMED
-            : UnknownCause.ANSWER_LOST);
+    boolean malformed = e instanceof MalformedHttpException && !connection.wasEndedByPeer();
+    mayHaveRun(malformed ? UnknownCause.ANSWER_MALFORMED : UnknownCause.ANSWER_LOST);
   }
 
   private void didNotRun(NotRunReason reason, UseEnd.Result useEnd) {
--- a/entry/src/main/java/org/mustardstage/entry/traffic/TrafficServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/TrafficServer.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -19,6 +20,7 @@
 /** The service that takes requests of callers, answers look-ups and carries the rest. */
 public final class TrafficServer {
   private final TrafficSettings settings;
+  private final AtomicBoolean running = new AtomicBoolean();
   private final AtomicInteger openConnections = new AtomicInteger();
   private final ImmutableList<TrafficThread> threads;
   private final PrimaryServer acceptor;
@@ -55,21 +57,26 @@
    * @throws IOException if the address can't be listened on
    */
   public void start() throws IOException {
+    running.set(true);
     threads.forEach(TrafficThread::start);
     try {
       threads.forEach(thread -> thread.reactor().submit(thread.server()::listen).join());
       threads.get(0).reactor().submit(acceptor::listen).join();
     } catch (CompletionException e) {
       threads.forEach(thread -> thread.reactor().submit(thread::close).join());
+      running.set(false);
       throw new IOException("can't listen on " + settings.listenAddress(), e.getCause());
     }
   }
 
   /**
    * Stops gracefully. New requests are refused as not run, requests that run go on to their end,
-   * then all connections are closed. It returns when that is done.
+   * then all connections are closed. It returns when that is done. Stopping again does nothing.
    */
   public void stop() {
+    if (!running.compareAndSet(true, false)) {
+      return;
+    }
     onEachThread(TrafficThread::drain);
     threads.get(0).reactor().submit(() -> acceptor.close().toVoid()).join();
     onEachThread(TrafficThread::close);
--- /dev/null
+++ b/entry/src/test/java/org/mustardstage/entry/traffic/CallerServletTest.java
@@ -0,0 +1,158 @@
+package org.mustardstage.entry.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+import static org.mustardstage.entry.traffic.TrafficServerTest.assertOutcome;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AutoClose;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Requests that are wrong, too large or too slow. */
+@Timeout(60)
+class CallerServletTest {
+  private static final int MAX_BODY_BYTES = 100_000;
+
+  @AutoClose
+  private final TestBed bed =
+      TestBed.start(
+          s -> new TrafficSettings(s.listenAddress(), 1, 50, MAX_BODY_BYTES, 300, s.limits()));
+
+  private final Entry entry = bed.entry;
+
+  @Test
+  void unknownServiceIsNotRun() {
+    assertOutcome(
+        entry.send(entry.request("GET", "/swatches", "").header("Mustardstage-Service", "none")),
+        404,
+        "not-run",
+        "unknown-service");
+  }
+
+  @Test
+  void unknownCallIsNotRun() {
+    assertOutcome(entry.get("/nothing"), 404, "not-run", "unknown-call");
+  }
+
+  @Test
+  void requestWithoutServiceIsNotRun() {
+    assertOutcome(entry.send(entry.request("GET", "/swatches", "")), 400, "not-run", "no-service");
+  }
+
+  @Test
+  void malformedDeadlineIsNotRun() {
+    assertOutcome(
+        entry.send(entry.booking("x").header("Mustardstage-Deadline-Millis", "soon")),
+        400,
+        "not-run",
+        "malformed-deadline");
+  }
+
+  @Test
+  void malformedKeyIsNotRun() {
+    assertOutcome(entry.bookWithKey("vm-a/1/mine", "x"), 400, "not-run", "malformed-key");
+  }
+
+  @Test
+  void keyThatWasNeverIssuedIsNotRun() {
+    assertOutcome(entry.bookWithKey("vm-a/1/999999/x", "x"), 400, "not-run", "malformed-key");
+  }
+
+  @Test
+  void headMethodIsNotCarried() {
+    assertOutcome(
+        entry.send(entry.request("HEAD", "/swatches", "").header("Mustardstage-Service", "desk")),
+        405,
+        "not-run",
+        "method-not-carried");
+  }
+
+  @Test
+  void lookupOfMalformedAddressIsRefused() {
+    assertOutcome(
+        entry.send(entry.request("GET", "/v1/lookup?service=desk&address=1.2.3", "")),
+        400,
+        "not-run",
+        "malformed-address");
+  }
+
+  @Test
+  void bodyWithTooLargeStatedLengthIsNotRun() {
+    String body = "x".repeat(MAX_BODY_BYTES + 1);
+
+    assertOutcome(entry.book(body), 413, "not-run", "body-too-large");
+    assertThat(bed.first.received(), hasSize(0));
+  }
+
+  @Test
+  void twoWaysToStateTheLengthAreRefused() throws IOException {
+    String head =
+        """
+        POST /bookings HTTP/1.1
+        Mustardstage-Service: desk
+        Content-Length: 4
+        Transfer-Encoding: chunked
+
+        0
+
+        """;
+    String answer = entry.raw(head.replace("\n", "\r\n"));
+
+    assertThat(answer, containsString("malformed-request"));
+    assertThat(bed.first.received(), hasSize(0));
+  }
+
+  @Test
+  void malformedRequestLineIsRefusedAndClosed() throws IOException {
+    assertThat(entry.raw("GET nonsense\r\n\r\n"), startsWith("HTTP/1.1 400"));
+    assertThat(entry.get("/swatches").body(), is("done"));
+  }
+
+  @Test
+  void oversizedHeaderLineIsRefusedAndClosed() throws IOException {
+    String line = "X-Large: " + "x".repeat(40_000) + "\r\n";
+
+    assertThat(closedOrRefused("GET /swatches HTTP/1.1\r\n" + line + "\r\n"), is(true));
+    assertThat(entry.get("/swatches").body(), is("done"));
+  }
+
+  @Test
+  void slowHeadIsClosedAndOthersAreServed() throws IOException {
+    try (Socket slow = entry.connect()) {
+      slow.getOutputStream()
+          .write("GET /swatches HTTP/1.1\r\nX-A: b\r\n".getBytes(StandardCharsets.ISO_8859_1));
+
+      assertThat(entry.get("/swatches").body(), is("done"));
+      assertThat(readToEnd(slow), is(""));
+    }
+  }
+
+  @Test
+  void silentCallerIsClosed() throws IOException {
+    try (Socket silent = entry.connect()) {
+      assertThat(readToEnd(silent), is(""));
+    }
+  }
+
+  private boolean closedOrRefused(String request) throws IOException {
+    try {
+      String answer = entry.raw(request);
+      return answer.isEmpty() || answer.startsWith("HTTP/1.1 400");
+    } catch (SocketException closedWhileSending) {
+      return true;
+    }
+  }
+
+  private static String readToEnd(Socket socket) throws IOException {
+    InputStream in = socket.getInputStream();
+    return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/mustardstage/entry/traffic/SilenceDetectorTest.java
@@ -0,0 +1,81 @@
+package org.mustardstage.entry.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.mustardstage.entry.traffic.TestBed.await;
+import static org.mustardstage.entry.traffic.TrafficServerTest.assertOutcome;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AutoClose;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections that go silent while new ones work. */
+@Timeout(60)
+class SilenceDetectorTest {
+  @AutoClose private final TestBed bed = TestBed.start();
+  private final Entry entry = bed.entry;
+  private final FakeEndpoint endpoint = bed.first;
+
+  @BeforeEach
+  void openConnections() throws InterruptedException {
+    entry.get("/swatches/1");
+    await(() -> endpoint.probes() > 0);
+  }
+
+  @Test
+  void readOnSilentConnectionIsAnsweredElsewhere() {
+    endpoint.silenceOpenConnections();
+    bed.second.script((request, exchange) -> exchange.ok("elsewhere"));
+
+    HttpResponse<String> answer = entry.get("/swatches/2");
+
+    assertThat(answer.body(), is("elsewhere"));
+    assertThat(endpoint.cancels(), hasSize(1));
+  }
+
+  @Test
+  void bookingOnSilentConnectionIsUnknownUnlessTheEndpointSaysNotRun() {
+    endpoint.silenceOpenConnections();
+
+    assertOutcome(entry.book("x"), 502, "outcome-unknown", "connection-silent");
+    assertThat(bed.second.received(), hasSize(0));
+  }
+
+  @Test
+  void bookingThatNeverArrivedIsSentElsewhere() {
+    endpoint.silenceOpenConnections();
+    endpoint.cancelState("not-run");
+
+    assertOutcome(entry.book("x"), 200, "answered", "");
+    assertThat(bed.second.received(), hasSize(1));
+  }
+
+  @Test
+  void nextRequestUsesAnotherConnection() {
+    endpoint.silenceOpenConnections();
+    entry.get("/swatches/2");
+
+    for (int i = 0; i < 5; i++) {
+      assertThat(entry.book("roll " + i).body(), is("done"));
+    }
+  }
+
+  @Test
+  void slowAnswerOnWorkingConnectionIsAwaited() throws Exception {
+    long probesBefore = endpoint.probes();
+    endpoint.script(
+        (request, exchange) -> {
+          await(() -> endpoint.probes() >= probesBefore + 3);
+          exchange.ok("slow");
+        });
+
+    CompletableFuture<HttpResponse<String>> answer = entry.sendAsync(entry.booking("x"));
+
+    assertThat(answer.join().body(), is("slow"));
+    assertThat(endpoint.cancels(), hasSize(0));
+  }
+}
