--- a/core/src/main/java/org/mustardstage/core/drain/DrainProgress.java
+++ b/core/src/main/java/org/mustardstage/core/drain/DrainProgress.java
@@ -9,8 +9,19 @@
 
 /** Tracks how far each leaving endpoint is on its way to empty. */
 public final class DrainProgress {
+  private final long settleNanos;
   private final Map<EndpointId, DrainState> states = new HashMap<>();
 
+  /**
+   * Creates an empty record.
+   *
+   * @param settleNanos how long no slot must be in use until an endpoint counts as empty; longer
+   *     than the word that it leaves takes to reach each entry VM
+   */
+  public DrainProgress(long settleNanos) {
+    this.settleNanos = settleNanos;
+  }
+
   /**
    * Takes in the plan and the slots in use now.
    *
@@ -19,8 +30,9 @@
   public void update(long nowNanos, DrainPlan plan, ToIntFunction<EndpointId> slotsInUse) {
     states.keySet().retainAll(plan.endpoints().keySet());
     for (EndpointId endpoint : plan.endpoints().keySet()) {
-      DrainState before = states.getOrDefault(endpoint, DrainState.Running.since(nowNanos));
-      states.put(endpoint, before.next(nowNanos, slotsInUse.applyAsInt(endpoint)));
+      int inUse = slotsInUse.applyAsInt(endpoint);
+      DrainState before = states.getOrDefault(endpoint, new DrainState.Running(nowNanos, inUse));
+      states.put(endpoint, before.next(nowNanos, inUse, settleNanos));
     }
   }
 
--- a/core/src/main/java/org/mustardstage/core/overload/RequestQueue.java
+++ b/core/src/main/java/org/mustardstage/core/overload/RequestQueue.java
@@ -127,6 +127,11 @@
     return lane(priority).size();
   }
 
+  /** Returns how long a request of {@code priority} that arrives now would wait. */
+  public long expectedWaitNanos(long nowNanos, Priority priority) {
+    return (long) waitOf(nowNanos, priority);
+  }
+
   /** Returns whether more requests arrive than the endpoints can work off. */
   public boolean isOverloaded(long nowNanos) {
     return detector.isOverloaded(nowNanos);
@@ -143,11 +148,11 @@
   }
 
   private boolean canFinish(long nowNanos, Waiting waiting) {
-    double startNanos = nowNanos + expectedWaitNanos(nowNanos, waiting.priority());
+    double startNanos = nowNanos + waitOf(nowNanos, waiting.priority());
     return startNanos <= latestStartNanos(nowNanos, waiting);
   }
 
-  private double expectedWaitNanos(long nowNanos, Priority priority) {
+  private double waitOf(long nowNanos, Priority priority) {
     boolean overloaded = detector.isOverloaded(nowNanos);
     return switch (priority) {
       case NON_IDEMPOTENT -> overloaded ? 0 : waitNanos(nonIdempotent.size());
--- a/core/src/main/java/org/mustardstage/core/route/EndpointHealth.java
+++ b/core/src/main/java/org/mustardstage/core/route/EndpointHealth.java
@@ -60,6 +60,11 @@
     return weight * reportedUsedShare + (1 - weight) * DECLARED_MARGIN;
   }
 
+  /** Returns whether a load report was seen and still has most of its weight. */
+  public boolean isReported(long nowNanos) {
+    return reported && Aging.weight(nowNanos - reportedNanos, REPORT_HALF_LIFE_NANOS) >= 0.5;
+  }
+
   /** Returns the expected service time; an old one gives way to {@code usualNanos}. */
   public double serviceNanos(long nowNanos, double usualNanos) {
     double weight = timed ? Aging.weight(nowNanos - timedNanos, LATENCY_HALF_LIFE_NANOS) : 0;
--- a/core/src/main/java/org/mustardstage/core/route/EndpointRouter.java
+++ b/core/src/main/java/org/mustardstage/core/route/EndpointRouter.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.manifest.Objective;
 
 /**
@@ -24,12 +25,15 @@
   private final RouterSettings settings;
   private final RandomGenerator random;
   private final OutlierEjection ejection;
+  private final RemoteBudget remoteBudget;
+  private final RegionLoads regionLoads = new RegionLoads();
   private Objective objective = Objective.LATENCY;
   private List<RoutedEndpoint> endpoints = ImmutableList.of();
   private Map<EndpointId, RoutedEndpoint> byId = new HashMap<>();
   private UsedShares usedShares = new UsedShares(0);
   private double[] scores = new double[0];
   private double usualNanos;
+  private double slots;
   private double regionUsedShare;
   private long refreshedNanos;
   private boolean stale = true;
@@ -39,6 +43,7 @@
     this.settings = settings;
     this.random = random;
     this.ejection = new OutlierEjection(settings.ejection());
+    this.remoteBudget = new RemoteBudget(settings.maxRemoteShare());
   }
 
   /**
@@ -58,10 +63,16 @@
     }
     endpoints = routed.build();
     scores = new double[endpoints.size()];
+    slots = sites.stream().mapToInt(EndpointSite::slots).sum();
     usedShares = new UsedShares(endpoints.size());
     onEligible();
   }
 
+  /** Takes over among how many entry VMs the room in other regions is divided. */
+  public void onEntryVms(int count) {
+    remoteBudget.onEntryVms(count);
+  }
+
   /** Takes over which endpoints leave and get no new work. */
   public void onLeaving(long nowNanos, Predicate<EndpointId> isLeaving) {
     for (RoutedEndpoint endpoint : endpoints) {
@@ -77,11 +88,11 @@
   public List<EndpointId> candidates(long nowNanos, RouteRequest request) {
     refresh(nowNanos);
     List<EndpointId> chosen = new ArrayList<>(settings.maxCandidates());
-    boolean spills = spills(request);
+    boolean spills = spills(request) && remoteBudget.hasRoom(nowNanos, slots, remoteHeldNanos());
     int localRoom = spills ? (settings.maxCandidates() + 1) / 2 : settings.maxCandidates();
     scoreLocal(request);
     takeBest(chosen, localRoom);
-    if (chosen.isEmpty() || spills) {
+    if (spills) {
       scoreRemote(request);
       takeBest(chosen, settings.maxCandidates());
     }
@@ -95,6 +106,10 @@
   /** Notes that a request is sent to {@code endpoint}. */
   public void onSent(EndpointId endpoint) {
     ejection.onSent(endpoint);
+    RoutedEndpoint routed = byId.get(endpoint);
+    if (routed != null && routed.isRemote()) {
+      remoteBudget.take();
+    }
   }
 
   /** Notes that a request counted as sent never reached {@code endpoint}. */
@@ -179,6 +194,7 @@
       refresh(nowNanos, endpoints.get(i), used[i]);
     }
     regionUsedShare = meanLocalUsedShare();
+    regionLoads.update(endpoints);
   }
 
   private void refresh(long nowNanos, RoutedEndpoint endpoint, double usedShare) {
@@ -190,6 +206,7 @@
         onProbation ? usualNanos : endpoint.health().serviceNanos(nowNanos, usualNanos);
     double score = EndpointScore.of(objective, endpoint, serviceNanos, usualNanos, usedShare);
     endpoint.setFigures(score, usedShare, endpoint.slowStart().share(nowNanos));
+    endpoint.setReported(endpoint.health().isReported(nowNanos));
   }
 
   private double medianServiceNanos(long nowNanos) {
@@ -208,14 +225,14 @@
 
   private double meanLocalUsedShare() {
     double used = 0;
-    double slots = 0;
+    double localSlots = 0;
     for (RoutedEndpoint endpoint : endpoints) {
       if (!endpoint.isRemote() && !endpoint.isLeaving()) {
         used += endpoint.usedShare() * endpoint.site().slots();
-        slots += endpoint.site().slots();
+        localSlots += endpoint.site().slots();
       }
     }
-    return slots == 0 ? 1 : used / slots;
+    return localSlots == 0 ? 1 : used / localSlots;
   }
 
   private boolean spills(RouteRequest request) {
@@ -230,6 +247,10 @@
     };
   }
 
+  private double remoteHeldNanos() {
+    return settings.delays().roundTripNanos(Proximity.OTHER_REGION) + usualNanos;
+  }
+
   private void scoreLocal(RouteRequest request) {
     for (int i = 0; i < scores.length; i++) {
       RoutedEndpoint endpoint = endpoints.get(i);
@@ -241,7 +262,7 @@
   private void scoreRemote(RouteRequest request) {
     for (int i = 0; i < scores.length; i++) {
       RoutedEndpoint endpoint = endpoints.get(i);
-      boolean taken = endpoint.isRemote() && isEligible(endpoint, request);
+      boolean taken = endpoint.isRemote() && isEligible(endpoint, request) && hasSpare(endpoint);
       scores[i] = taken ? jittered(endpoint.score()) : NO_SCORE;
     }
   }
@@ -253,6 +274,12 @@
     }
   }
 
+  /** Returns whether the region of an endpoint surely has slots to spare. */
+  private boolean hasSpare(RoutedEndpoint endpoint) {
+    RegionId region = endpoint.site().region();
+    return endpoint.reported() && regionLoads.usedShare(region) <= settings.maxRemoteUsedShare();
+  }
+
   private boolean isEligible(RoutedEndpoint endpoint, RouteRequest request) {
     return isAllowed(endpoint, request)
         && ejection.mayTake(endpoint.id(), request.mayProbe())
--- a/core/src/main/java/org/mustardstage/core/route/RoutedEndpoint.java
+++ b/core/src/main/java/org/mustardstage/core/route/RoutedEndpoint.java
@@ -12,6 +12,7 @@
   private double score;
   private double usedShare;
   private double startShare;
+  private boolean reported;
 
   RoutedEndpoint(
       EndpointSite site, EndpointHealth health, SlowStart slowStart, double roundTripNanos) {
@@ -77,6 +78,15 @@
     return startShare;
   }
 
+  /** Returns whether a recent load report is known. */
+  boolean reported() {
+    return reported;
+  }
+
+  void setReported(boolean nowReported) {
+    reported = nowReported;
+  }
+
   void setFigures(double newScore, double newUsedShare, double newStartShare) {
     score = newScore;
     usedShare = newUsedShare;
--- a/core/src/main/java/org/mustardstage/core/route/RouterSettings.java
+++ b/core/src/main/java/org/mustardstage/core/route/RouterSettings.java
@@ -11,6 +11,9 @@
  * @param slowStartMinShare the least share of a cold endpoint
  * @param maxRegionUsedShare the used share of the own region above which headroom is sought in
  *     other regions
+ * @param maxRemoteUsedShare the used share of another region above which it gets nothing
+ * @param maxRemoteShare the largest share of all slots that requests of other regions hold, while
+ *     their own region has endpoints
  * @param delays the delays between places
  * @param ejection when an endpoint counts as an outlier
  */
@@ -20,12 +23,22 @@
     long slowStartNanos,
     double slowStartMinShare,
     double maxRegionUsedShare,
+    double maxRemoteUsedShare,
+    double maxRemoteShare,
     PlaceDelays delays,
     EjectionSettings ejection) {
   /** The settings used where nothing else is said. */
   public static final RouterSettings DEFAULT =
       new RouterSettings(
-          8, 0.2, 10_000_000_000L, 0.1, 0.9, PlaceDelays.DEFAULT, EjectionSettings.DEFAULT);
+          8,
+          0.2,
+          10_000_000_000L,
+          0.1,
+          0.9,
+          0.7,
+          0.1,
+          PlaceDelays.DEFAULT,
+          EjectionSettings.DEFAULT);
 
   /** Checks the bounds. */
   public RouterSettings {
--- a/core/src/main/java/org/mustardstage/core/shift/MovePlan.java
+++ b/core/src/main/java/org/mustardstage/core/shift/MovePlan.java
@@ -9,7 +9,7 @@
  */
 public final class MovePlan {
   private static final long NANOS_PER_MILLI = 1_000_000;
-  private static final int MAX_DOUBLINGS = 4;
+  private static final int MAX_DOUBLINGS = 2;
   private static final long MIN_BETWEEN_STEPS_BACK_NANOS = 1_000_000_000L;
 
   private MovePlan() {}
@@ -32,9 +32,9 @@
     return forwardOrHold(move, state, heldNanos, report.get());
   }
 
-  /** Returns how long a state is held at least; it doubles with each step back. */
+  /** Returns how long a state is held at least; it doubles with each recent step back. */
   public static long minHoldNanos(PlannedMove move, MoveState state) {
-    int doublings = Math.min(state.stepsBack(), MAX_DOUBLINGS);
+    int doublings = Math.min(state.recentStepsBack(), MAX_DOUBLINGS);
     return (move.stepMillis() * NANOS_PER_MILLI) << doublings;
   }
 
--- a/core/src/main/java/org/mustardstage/core/shift/MoveState.java
+++ b/core/src/main/java/org/mustardstage/core/shift/MoveState.java
@@ -11,14 +11,14 @@
  * @param move the move
  * @param revision grows with each change; an older state never replaces a newer one
  * @param step the steps taken, from 0 to the number of steps of the move
- * @param stepsBack how often the move stepped back so far
+ * @param recentStepsBack the steps back that no later step forward has made up for
  */
-public record MoveState(MoveId move, long revision, int step, int stepsBack) {
+public record MoveState(MoveId move, long revision, int step, int recentStepsBack) {
   /** Checks that the counts are not negative. */
   public MoveState {
     Preconditions.checkArgument(revision >= 0, "revision must not be negative");
     Preconditions.checkArgument(step >= 0, "step must not be negative");
-    Preconditions.checkArgument(stepsBack >= 0, "steps back must not be negative");
+    Preconditions.checkArgument(recentStepsBack >= 0, "steps back must not be negative");
   }
 
   /** Returns the state of a move that has not begun. */
@@ -38,10 +38,10 @@
   }
 
   MoveState forward() {
-    return new MoveState(move, revision + 1, step + 1, stepsBack);
+    return new MoveState(move, revision + 1, step + 1, Math.max(0, recentStepsBack - 1));
   }
 
   MoveState back() {
-    return new MoveState(move, revision + 1, step - 1, stepsBack + 1);
+    return new MoveState(move, revision + 1, step - 1, recentStepsBack + 1);
   }
 }
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/bench/policies/Plots.java
@@ -0,0 +1,46 @@
+package org.mustardstage.standins.bench.policies;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.chart.JFreeChart;
+import org.jfree.chart.axis.LogarithmicAxis;
+import org.jfree.chart.plot.XYPlot;
+import org.jfree.chart.renderer.xy.XYLineAndShapeRenderer;
+
+/** Draws plots as PNG files. */
+final class Plots {
+  private static final int WIDTH_PIXELS = 800;
+  private static final int HEIGHT_PIXELS = 500;
+
+  private final Path directory;
+
+  Plots(Path directory) {
+    this.directory = directory;
+  }
+
+  void draw(String name, Series series) {
+    JFreeChart chart =
+        ChartFactory.createXYLineChart(
+            series.title(), "offered load / capacity", series.unit(), series.lines());
+    XYPlot plot = chart.getXYPlot();
+    plot.setRenderer(new XYLineAndShapeRenderer());
+    if (series.unit().equals(Series.MILLISECONDS)) {
+      plot.setRangeAxis(new LogarithmicAxis(series.unit()));
+    }
+    write(name, chart);
+  }
+
+  private void write(String name, JFreeChart chart) {
+    try {
+      Files.createDirectories(directory);
+      ChartUtils.saveChartAsPNG(
+          directory.resolve(name + ".png").toFile(), chart, WIDTH_PIXELS, HEIGHT_PIXELS);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
