Refuse a manifest that moves an endpoint to another zone under its name

Cause: the model of permits showed that a zone which is cut off with the earlier manifest would go on using permits that the other zone has too. Change: ChangeCheck compares a submission with the manifest in force; endpoints keep their zone and zones their region.

--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/config/ChangeCheck.java
@@ -0,0 +1,52 @@
+package org.mustardstage.core.config;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.Map;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.Endpoint;
+import org.mustardstage.core.manifest.Manifest;
+import org.mustardstage.core.manifest.Service;
+import org.mustardstage.core.manifest.Zone;
+
+/** Checks a manifest against the one in force. */
+public final class ChangeCheck {
+  private ChangeCheck() {}
+
+  /** Returns what {@code after} may not change of {@code before}, nothing when it may follow. */
+  public static ImmutableList<ChangeProblem> check(Manifest before, Manifest after) {
+    ImmutableList.Builder<ChangeProblem> problems = ImmutableList.builder();
+    Map<EndpointId, ZoneId> zones = zonesByEndpoint(before);
+    zonesByEndpoint(after)
+        .forEach(
+            (endpoint, zone) -> {
+              ZoneId earlier = zones.get(endpoint);
+              if (earlier != null && !earlier.equals(zone)) {
+                problems.add(new ChangeProblem.EndpointChangedZone(endpoint, earlier, zone));
+              }
+            });
+    for (Zone zone : after.zones()) {
+      before
+          .findRegion(zone.id())
+          .filter(region -> !region.equals(zone.region()))
+          .ifPresent(region -> problems.add(changedRegion(zone, region)));
+    }
+    return problems.build();
+  }
+
+  private static ChangeProblem changedRegion(Zone zone, RegionId before) {
+    return new ChangeProblem.ZoneChangedRegion(zone.id(), before, zone.region());
+  }
+
+  private static Map<EndpointId, ZoneId> zonesByEndpoint(Manifest manifest) {
+    Map<EndpointId, ZoneId> zones = new HashMap<>();
+    for (Service service : manifest.services()) {
+      for (Endpoint endpoint : service.endpoints()) {
+        zones.put(endpoint.id(), endpoint.zone());
+      }
+    }
+    return zones;
+  }
+}
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -107,7 +107,7 @@
             platform,
             reader,
             System::currentTimeMillis,
-            submitted -> StateCheck.check(submitted, memberView.get()),
+            submitted -> StateCheck.check(submitted, snapshot.get().manifest(), memberView.get()),
             config::isStored,
             config::onAccepted);
     SplittableRandom random = new SplittableRandom(incarnationNumber);
--- a/entry/src/main/java/org/mustardstage/entry/control/StateCheck.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/StateCheck.java
@@ -6,8 +6,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.mustardstage.core.config.ChangeCheck;
 import org.mustardstage.core.drain.DrainCapacityCheck;
 import org.mustardstage.core.drain.DrainSituation;
 import org.mustardstage.core.id.VmId;
@@ -19,12 +21,14 @@
 
 /** Finds what the state of the system forbids of a manifest that is valid by itself. */
 final class StateCheck {
+  private static final String WHOLE_PATH = "/";
   private static final String DRAINS_PATH = "/drains";
   private static final String MOVES_PATH = "/moves";
 
   private StateCheck() {}
 
-  static List<SubmissionEnd.ProblemText> check(Manifest manifest, MemberView view) {
+  static List<SubmissionEnd.ProblemText> check(
+      Manifest manifest, Optional<Manifest> inForce, MemberView view) {
     Map<ZoneId, Set<VmId>> entryVms = new HashMap<>();
     for (MemberStatus status : view.statuses()) {
       if (status.takesCallers()) {
@@ -34,13 +38,22 @@
       }
     }
     DrainSituation situation = new DrainSituation(ImmutableSet.of(), ImmutableMap.of(), entryVms);
-    return Stream.concat(
+    return Stream.of(
+            changeProblems(manifest, inForce),
             DrainCapacityCheck.check(manifest, situation).stream()
                 .map(problem -> toText(DRAINS_PATH, problem)),
             MoveConflicts.check(manifest).stream().map(problem -> toText(MOVES_PATH, problem)))
+        .flatMap(problems -> problems)
         .toList();
   }
 
+  private static Stream<SubmissionEnd.ProblemText> changeProblems(
+      Manifest manifest, Optional<Manifest> inForce) {
+    return inForce.stream()
+        .flatMap(before -> ChangeCheck.check(before, manifest).stream())
+        .map(problem -> toText(WHOLE_PATH, problem));
+  }
+
   private static SubmissionEnd.ProblemText toText(String path, Object problem) {
     return new SubmissionEnd.ProblemText(
         problem.getClass().getSimpleName(), path, problem.toString());
