--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -361,7 +361,13 @@
     eventloop.execute(
         () -> {
           permits.stop(() -> handedOver.complete(null));
-          eventloop.delay(HANDOVER_TIMEOUT.toMillis(), () -> handedOver.complete(null));
+          eventloop.delay(
+              HANDOVER_TIMEOUT.toMillis(),
+              () -> {
+                if (handedOver.complete(null)) {
+                  EventLog.log(Event.STOP_CUT_SHORT, "inUse", permits.status().permitsInUse());
+                }
+              });
         });
     handedOver.join();
     eventloop.submit(() -> network.stop().toVoid()).join();
