--- a/core/src/main/java/org/mustardstage/core/member/Membership.java
+++ b/core/src/main/java/org/mustardstage/core/member/Membership.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.collect.ImmutableSortedSet;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
@@ -34,7 +37,10 @@
   private Member self;
   private ConfigVersion version = ConfigVersion.NONE;
   private List<Member> listed = ImmutableList.of();
-  private long digestMadeNanos;
+  private Optional<ImmutableSortedMap<RegionId, ImmutableSortedSet<ZoneId>>> places =
+      Optional.empty();
+  private long placesHash;
+  private long digestCheckedNanos;
   private long viewMadeNanos;
   private int viewHash;
 
@@ -46,12 +52,13 @@
     this.silentZones =
         new SilentZones(SILENT_AFTER_REGION_PERIODS * settings.regionHeartbeatNanos());
     this.schedule = new HeartbeatSchedule(settings);
-    this.digestMadeNanos = nowNanos - settings.digestIntervalNanos();
+    this.digestCheckedNanos = nowNanos - settings.digestIntervalNanos();
   }
 
   /** Takes in the platform's list. */
   public List<MemberAction> onVmList(long nowNanos, List<Member> list) {
     listed = ImmutableList.copyOf(list);
+    places = Optional.empty();
     peers.onVmList(nowNanos, list);
     return changes(nowNanos);
   }
@@ -231,24 +238,35 @@
   }
 
   private ImmutableSortedSet<ZoneId> zonesOf(RegionId region) {
-    return knownElsewhere().stream()
-        .filter(member -> member.region().equals(region))
-        .map(Member::zone)
-        .collect(ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
+    return places().getOrDefault(region, ImmutableSortedSet.of());
   }
 
-  private ImmutableSortedSet<RegionId> regions() {
-    return knownElsewhere().stream()
-        .map(Member::region)
-        .collect(ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
+  private ImmutableSet<RegionId> regions() {
+    return places().keySet();
   }
 
-  private List<Member> knownElsewhere() {
+  /** Returns the zones of each region; made anew when a digest or the list has changed. */
+  private ImmutableSortedMap<RegionId, ImmutableSortedSet<ZoneId>> places() {
+    if (places.isEmpty() || placesHash != world.hash()) {
+      placesHash = world.hash();
+      places = Optional.of(findPlaces());
+    }
+    return places.orElseThrow();
+  }
+
+  private ImmutableSortedMap<RegionId, ImmutableSortedSet<ZoneId>> findPlaces() {
+    TreeMap<RegionId, TreeSet<ZoneId>> zones = new TreeMap<>();
     List<Member> known = new ArrayList<>(listed);
     world.all().values().stream()
         .flatMap(digest -> digest.entries().stream())
         .forEach(entry -> known.add(entry.member()));
-    return known;
+    for (Member member : known) {
+      zones.computeIfAbsent(member.region(), key -> new TreeSet<>()).add(member.zone());
+    }
+    ImmutableSortedMap.Builder<RegionId, ImmutableSortedSet<ZoneId>> sorted =
+        ImmutableSortedMap.naturalOrder();
+    zones.forEach((region, set) -> sorted.put(region, ImmutableSortedSet.copyOfSorted(set)));
+    return sorted.buildOrThrow();
   }
 
   private List<Member> aliveInZone(long nowNanos) {
@@ -297,8 +315,11 @@
   }
 
   private void refreshOwnDigest(long nowNanos) {
-    boolean due = nowNanos - digestMadeNanos >= settings.digestIntervalNanos();
-    if (!due || !isZoneRepresentative(nowNanos)) {
+    if (nowNanos - digestCheckedNanos < settings.digestIntervalNanos()) {
+      return;
+    }
+    digestCheckedNanos = nowNanos;
+    if (!isZoneRepresentative(nowNanos)) {
       return;
     }
     List<ZoneDigest.Entry> entries = new ArrayList<>();
@@ -313,7 +334,6 @@
     }
     long counter = held.map(ZoneDigest::counter).orElse(0L) + 1;
     world.offer(new ZoneDigest(self.zone(), counter, entries));
-    digestMadeNanos = nowNanos;
   }
 
   private ImmutableSet<ZoneId> ownSilentZones(long nowNanos) {
