Ask the representative of the zone for digests

Cause: after a change of version every VM compared digests with every other of its zone. Change: VMs ask their representative; it asks other zones, and its own now and then.

--- a/core/src/main/java/org/mustardstage/core/member/Membership.java
+++ b/core/src/main/java/org/mustardstage/core/member/Membership.java
@@ -41,6 +41,7 @@
       Optional.empty();
   private long placesHash;
   private long digestCheckedNanos;
+  private long askedOwnZoneNanos = Long.MIN_VALUE / 2;
   private long viewMadeNanos;
   private int viewHash;
 
@@ -103,11 +104,27 @@
     if (reportsSilentZonesTo(nowNanos, from)) {
       silentZones.onReport(heartbeat.silentZones());
     }
-    if (heartbeat.worldHash() != world.hash()) {
+    if (heartbeat.worldHash() != world.hash() && asksForDigests(nowNanos, from)) {
       sendSummary(nowNanos, from, actions);
     }
   }
 
+  /**
+   * Returns whether a difference to {@code from} is looked into: VMs of a zone ask their
+   * representative only; the representative asks other zones, and now and then a VM of its own.
+   */
+  private boolean asksForDigests(long nowNanos, Member from) {
+    if (!from.zone().equals(self.zone()) || isSameVm(representativeOf(nowNanos), from)) {
+      return true;
+    }
+    boolean due = nowNanos - askedOwnZoneNanos >= settings.regionHeartbeatNanos();
+    if (!due || !isZoneRepresentative(nowNanos)) {
+      return false;
+    }
+    askedOwnZoneNanos = nowNanos;
+    return true;
+  }
+
   /** Returns whether {@code from} speaks for the own zone, or for the region to this zone. */
   private boolean reportsSilentZonesTo(long nowNanos, Member from) {
     if (from.zone().equals(self.zone())) {
