Leave the members out of a digest when the receiver has them

Change: a digest carries one version and the VMs that are behind it; members travel only when their hash differs.

--- a/core/src/main/java/org/mustardstage/core/member/DigestCounter.java
+++ b/core/src/main/java/org/mustardstage/core/member/DigestCounter.java
@@ -10,8 +10,9 @@
  * @param zone the zone
  * @param counter the number of the digest; a larger one replaces a smaller one
  * @param contentHash a hash of the content, which decides between digests with the same number
+ * @param membersHash a hash of the members in the content
  */
-public record DigestCounter(ZoneId zone, long counter, long contentHash) {
+public record DigestCounter(ZoneId zone, long counter, long contentHash, long membersHash) {
   /** Returns whether this digest replaces {@code other}. */
   public boolean isNewerThan(DigestCounter other) {
     return counter != other.counter
--- a/core/src/main/java/org/mustardstage/core/member/MemberMessage.java
+++ b/core/src/main/java/org/mustardstage/core/member/MemberMessage.java
@@ -32,7 +32,7 @@
   }
 
   /** Carries digests that are newer than those of the receiver. */
-  record Digests(List<ZoneDigest> digests) implements MemberMessage {
+  record Digests(List<DigestUpdate> digests) implements MemberMessage {
     /** Copies the list. */
     public Digests {
       digests = ImmutableList.copyOf(digests);
--- a/core/src/main/java/org/mustardstage/core/member/Membership.java
+++ b/core/src/main/java/org/mustardstage/core/member/Membership.java
@@ -151,7 +151,7 @@
 
   private void onSummary(
       long nowNanos, Member from, MemberMessage.DigestSummary summary, List<MemberAction> actions) {
-    List<ZoneDigest> newer = world.newerThan(summary.counters());
+    List<DigestUpdate> newer = world.newerThan(summary.counters());
     if (!newer.isEmpty()) {
       actions.add(new MemberAction.SendMessage(from, new MemberMessage.Digests(newer)));
     }
@@ -237,10 +237,7 @@
 
   private List<Member> candidatesOf(ZoneId zone) {
     List<Member> fromDigest =
-        world.find(zone).stream()
-            .flatMap(digest -> digest.entries().stream())
-            .map(ZoneDigest.Entry::member)
-            .toList();
+        world.find(zone).stream().flatMap(digest -> digest.members().stream()).toList();
     return fromDigest.isEmpty()
         ? listed.stream().filter(member -> member.zone().equals(zone)).toList()
         : fromDigest;
@@ -274,9 +271,7 @@
   private ImmutableSortedMap<RegionId, ImmutableSortedSet<ZoneId>> findPlaces() {
     TreeMap<RegionId, TreeSet<ZoneId>> zones = new TreeMap<>();
     List<Member> known = new ArrayList<>(listed);
-    world.all().values().stream()
-        .flatMap(digest -> digest.entries().stream())
-        .forEach(entry -> known.add(entry.member()));
+    world.all().values().forEach(digest -> known.addAll(digest.members()));
     for (Member member : known) {
       zones.computeIfAbsent(member.region(), key -> new TreeSet<>()).add(member.zone());
     }
@@ -339,18 +334,27 @@
     if (!isZoneRepresentative(nowNanos)) {
       return;
     }
-    List<ZoneDigest.Entry> entries = new ArrayList<>();
-    entries.add(new ZoneDigest.Entry(self, version));
-    peers.statuses(nowNanos).stream()
-        .filter(MemberStatus::isAlive)
-        .forEach(status -> entries.add(new ZoneDigest.Entry(status.member(), status.version())));
-    entries.sort(Comparator.comparing(entry -> entry.member().vm()));
     Optional<ZoneDigest> held = world.find(self.zone());
-    if (held.filter(digest -> digest.entries().equals(entries)).isPresent()) {
-      return;
+    ZoneDigest fresh = makeDigest(nowNanos, held.map(ZoneDigest::counter).orElse(0L) + 1);
+    if (held.filter(fresh::saysTheSameAs).isEmpty()) {
+      world.offer(fresh);
     }
-    long counter = held.map(ZoneDigest::counter).orElse(0L) + 1;
-    world.offer(new ZoneDigest(self.zone(), counter, entries));
+  }
+
+  private ZoneDigest makeDigest(long nowNanos, long counter) {
+    List<MemberStatus> alive = new ArrayList<>();
+    alive.add(new MemberStatus(self, MemberStatus.Liveness.ALIVE, false, version));
+    peers.statuses(nowNanos).stream().filter(MemberStatus::isAlive).forEach(alive::add);
+    alive.sort(Comparator.comparing(status -> status.member().vm()));
+    ConfigVersion newest =
+        alive.stream().map(MemberStatus::version).max(Comparator.naturalOrder()).orElseThrow();
+    List<VmId> behind =
+        alive.stream()
+            .filter(status -> !status.version().equals(newest))
+            .map(status -> status.member().vm())
+            .toList();
+    List<Member> members = alive.stream().map(MemberStatus::member).toList();
+    return new ZoneDigest(self.zone(), counter, newest, behind, members);
   }
 
   private ImmutableSet<ZoneId> ownSilentZones(long nowNanos) {
@@ -358,10 +362,10 @@
     boolean zoneRepresentative = isZoneRepresentative(nowNanos);
     boolean regionRepresentative = isRegionRepresentative(nowNanos);
     for (ZoneDigest digest : world.all().values()) {
-      if (digest.zone().equals(self.zone()) || digest.entries().isEmpty()) {
+      if (digest.zone().equals(self.zone()) || digest.members().isEmpty()) {
         continue;
       }
-      RegionId region = digest.entries().getFirst().member().region();
+      RegionId region = digest.members().getFirst().region();
       if (isSilent(nowNanos, digest.zone(), region, zoneRepresentative, regionRepresentative)) {
         silent.add(digest.zone());
       }
@@ -392,18 +396,19 @@
     ImmutableSet<ZoneId> silent = ownSilentZones(nowNanos);
     for (ZoneDigest digest : world.all().values()) {
       if (!digest.zone().equals(self.zone())) {
-        digest.entries().forEach(entry -> statuses.add(toStatus(entry, silent)));
+        digest.members().forEach(member -> statuses.add(toStatus(digest, member, silent)));
       }
     }
     return new MemberView(self, statuses, silent);
   }
 
-  private static MemberStatus toStatus(ZoneDigest.Entry entry, ImmutableSet<ZoneId> silent) {
+  private static MemberStatus toStatus(
+      ZoneDigest digest, Member member, ImmutableSet<ZoneId> silent) {
     MemberStatus.Liveness liveness =
-        silent.contains(entry.member().zone())
+        silent.contains(member.zone())
             ? MemberStatus.Liveness.SUSPECTED
             : MemberStatus.Liveness.ALIVE;
-    return new MemberStatus(entry.member(), liveness, false, entry.version());
+    return new MemberStatus(member, liveness, false, digest.versionOf(member));
   }
 
   private List<MemberAction> changes(long nowNanos) {
--- a/core/src/main/java/org/mustardstage/core/member/World.java
+++ b/core/src/main/java/org/mustardstage/core/member/World.java
@@ -53,15 +53,20 @@
     return new MemberMessage.DigestSummary(ImmutableList.copyOf(counters.values()));
   }
 
-  /** Returns the digests that are newer than {@code theirs}. */
-  List<ZoneDigest> newerThan(List<DigestCounter> theirs) {
+  /** Keeps the digest that {@code update} gives, when it is newer than the one held. */
+  void offer(DigestUpdate update) {
+    update.toDigest(find(update.zone())).ifPresent(this::offer);
+  }
+
+  /** Returns what a VM that holds {@code theirs} lacks. */
+  List<DigestUpdate> newerThan(List<DigestCounter> theirs) {
     Map<ZoneId, DigestCounter> held = new HashMap<>();
     theirs.forEach(counter -> held.put(counter.zone(), counter));
-    List<ZoneDigest> newer = new ArrayList<>();
+    List<DigestUpdate> newer = new ArrayList<>();
     for (ZoneDigest digest : digests.values()) {
       DigestCounter other = held.get(digest.zone());
       if (other == null || counters.get(digest.zone()).isNewerThan(other)) {
-        newer.add(digest);
+        newer.add(digest.toUpdate(Optional.ofNullable(other).map(DigestCounter::membersHash)));
       }
     }
     return newer;
--- a/core/src/main/java/org/mustardstage/core/member/ZoneDigest.java
+++ b/core/src/main/java/org/mustardstage/core/member/ZoneDigest.java
@@ -5,7 +5,9 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.ZoneId;
 
 /**
@@ -13,26 +15,54 @@
  *
  * @param zone the zone
  * @param counter the number of the digest; a larger one replaces a smaller one
- * @param entries the live VMs, sorted by name
+ * @param version the version in force at the VMs that are not behind
+ * @param behind the VMs that have an older version in force, sorted by name
+ * @param members the live VMs, sorted by name
  */
-public record ZoneDigest(ZoneId zone, long counter, List<Entry> entries) {
-  /** Copies the list. */
+public record ZoneDigest(
+    ZoneId zone, long counter, ConfigVersion version, List<VmId> behind, List<Member> members) {
+  /** Copies the lists. */
   public ZoneDigest {
-    entries = ImmutableList.copyOf(entries);
+    behind = ImmutableList.copyOf(behind);
+    members = ImmutableList.copyOf(members);
   }
 
-  /** A live VM and the version of the manifest in force there. */
-  public record Entry(Member member, ConfigVersion version) {}
+  /** Returns the version in force at {@code member}; none when it is behind. */
+  ConfigVersion versionOf(Member member) {
+    return behind.contains(member.vm()) ? ConfigVersion.NONE : version;
+  }
+
+  /** Returns whether both digests say the same, whatever their numbers. */
+  boolean saysTheSameAs(ZoneDigest other) {
+    return version.equals(other.version)
+        && behind.equals(other.behind)
+        && members.equals(other.members);
+  }
 
-  /** Returns the number and the hash of this digest. */
+  /** Returns the number and the hashes of this digest. */
   public DigestCounter toCounter() {
+    long membersHash = hashOfMembers();
+    Hasher hasher = Hashing.murmur3_128().newHasher().putLong(membersHash);
+    hasher.putLong(version.number());
+    behind.forEach(vm -> hasher.putString(vm.value(), StandardCharsets.UTF_8).putByte((byte) 0));
+    return new DigestCounter(zone, counter, hasher.hash().asLong(), membersHash);
+  }
+
+  private long hashOfMembers() {
     Hasher hasher = Hashing.murmur3_128().newHasher();
-    for (Entry entry : entries) {
-      hasher.putString(entry.member().vm().value(), StandardCharsets.UTF_8);
-      hasher.putLong(entry.member().incarnation().number());
-      hasher.putBoolean(entry.member().leaving());
-      hasher.putLong(entry.version().number());
+    for (Member member : members) {
+      hasher.putString(member.vm().value(), StandardCharsets.UTF_8);
+      hasher.putLong(member.incarnation().number());
+      hasher.putBoolean(member.leaving());
     }
-    return new DigestCounter(zone, counter, hasher.hash().asLong());
+    return hasher.hash().asLong();
+  }
+
+  /** Returns what a VM needs that holds a digest with the members of {@code membersHash}. */
+  DigestUpdate toUpdate(Optional<Long> membersHash) {
+    long ownHash = hashOfMembers();
+    boolean known = membersHash.filter(hash -> hash == ownHash).isPresent();
+    return new DigestUpdate(
+        zone, counter, version, behind, ownHash, known ? Optional.empty() : Optional.of(members));
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/peer/MemberWire.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MemberWire.java
@@ -1,6 +1,7 @@
 package org.mustardstage.entry.peer;
 
 import java.util.List;
+import java.util.Optional;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
@@ -8,11 +9,10 @@
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.DigestCounter;
+import org.mustardstage.core.member.DigestUpdate;
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberMessage;
-import org.mustardstage.core.member.ZoneDigest;
 import org.mustardstage.schema.generated.WireDigestCounter;
-import org.mustardstage.schema.generated.WireDigestEntry;
 import org.mustardstage.schema.generated.WireDigestSummary;
 import org.mustardstage.schema.generated.WireDigests;
 import org.mustardstage.schema.generated.WireHeartbeat;
@@ -47,20 +47,20 @@
     return new WireDigestCounter()
         .withZone(counter.zone().value())
         .withCounter(counter.counter())
-        .withContentHash(counter.contentHash());
+        .withContentHash(counter.contentHash())
+        .withMembersHash(counter.membersHash());
   }
 
-  private static WireZoneDigest toWire(ZoneDigest digest) {
+  private static WireZoneDigest toWire(DigestUpdate update) {
     return new WireZoneDigest()
-        .withZone(digest.zone().value())
-        .withCounter(digest.counter())
-        .withEntries(digest.entries().stream().map(MemberWire::toWire).toList());
-  }
-
-  private static WireDigestEntry toWire(ZoneDigest.Entry entry) {
-    return new WireDigestEntry()
-        .withMember(toWire(entry.member()))
-        .withVersion(entry.version().number());
+        .withZone(update.zone().value())
+        .withCounter(update.counter())
+        .withVersion(update.version().number())
+        .withBehind(update.behind().stream().map(VmId::value).toList())
+        .withMembersHash(update.membersHash())
+        .withSameMembers(update.members().isEmpty())
+        .withMembers(
+            update.members().stream().flatMap(List::stream).map(MemberWire::toWire).toList());
   }
 
   static WireMember toWire(Member member) {
@@ -90,20 +90,26 @@
   }
 
   private static DigestCounter fromWire(WireDigestCounter wire) {
-    return new DigestCounter(new ZoneId(wire.getZone()), wire.getCounter(), wire.getContentHash());
+    return new DigestCounter(
+        new ZoneId(wire.getZone()),
+        wire.getCounter(),
+        wire.getContentHash(),
+        wire.getMembersHash());
   }
 
   static MemberMessage fromWire(WireDigests wire) {
     return new MemberMessage.Digests(wire.getDigests().stream().map(MemberWire::fromWire).toList());
   }
 
-  private static ZoneDigest fromWire(WireZoneDigest wire) {
-    List<ZoneDigest.Entry> entries = wire.getEntries().stream().map(MemberWire::fromWire).toList();
-    return new ZoneDigest(new ZoneId(wire.getZone()), wire.getCounter(), entries);
-  }
-
-  private static ZoneDigest.Entry fromWire(WireDigestEntry wire) {
-    return new ZoneDigest.Entry(fromWire(wire.getMember()), new ConfigVersion(wire.getVersion()));
+  private static DigestUpdate fromWire(WireZoneDigest wire) {
+    List<Member> members = wire.getMembers().stream().map(MemberWire::fromWire).toList();
+    return new DigestUpdate(
+        new ZoneId(wire.getZone()),
+        wire.getCounter(),
+        new ConfigVersion(wire.getVersion()),
+        wire.getBehind().stream().map(VmId::new).toList(),
+        wire.getMembersHash(),
+        wire.getSameMembers() ? Optional.empty() : Optional.of(members));
   }
 
   static Member fromWire(WireMember wire) {
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
@@ -20,9 +20,9 @@
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.DigestCounter;
+import org.mustardstage.core.member.DigestUpdate;
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberMessage;
-import org.mustardstage.core.member.ZoneDigest;
 import org.mustardstage.core.permit.LimitId;
 import org.mustardstage.core.permit.PermitMessage;
 
@@ -46,15 +46,18 @@
   }
 
   private static Stream<PeerMessage> memberMessages() {
-    DigestCounter counter = new DigestCounter(ZONE, 3, -7);
-    ZoneDigest digest =
-        new ZoneDigest(ZONE, 3, List.of(new ZoneDigest.Entry(MEMBER, new ConfigVersion(9))));
+    DigestCounter counter = new DigestCounter(ZONE, 3, -7, 8);
+    DigestUpdate whole =
+        new DigestUpdate(
+            ZONE, 3, new ConfigVersion(9), List.of(VM.vm()), 8, Optional.of(List.of(MEMBER)));
+    DigestUpdate versionOnly =
+        new DigestUpdate(ZONE, 3, new ConfigVersion(9), List.of(), 8, Optional.empty());
     return Stream.of(
         new PeerMessage.Hello(MEMBER),
         new PeerMessage.OfMembership(
             new MemberMessage.Heartbeat(true, new ConfigVersion(9), -1, List.of(ZONE))),
         new PeerMessage.OfMembership(new MemberMessage.DigestSummary(List.of(counter))),
-        new PeerMessage.OfMembership(new MemberMessage.Digests(List.of(digest))),
+        new PeerMessage.OfMembership(new MemberMessage.Digests(List.of(whole, versionOnly))),
         new PeerMessage.ConfigAnnounce(new ConfigVersion(9), "abc"),
         new PeerMessage.ConfigFetch(List.of("abc", "def")),
         new PeerMessage.ConfigObjects(
