--- a/standins/src/main/java/org/mustardstage/standins/load/LoadRunner.java
+++ b/standins/src/main/java/org/mustardstage/standins/load/LoadRunner.java
@@ -51,14 +51,14 @@
 
   /** Starts the load; the promise ends when the last request has ended. */
   Promise<LoadSummary> start() {
-    startMillis = eventloop.currentTimeMillis();
+    startMillis = System.currentTimeMillis();
     startNanos = System.nanoTime();
     sendDue();
     return finished;
   }
 
   private void sendDue() {
-    long nowMillis = eventloop.currentTimeMillis() - startMillis;
+    long nowMillis = System.currentTimeMillis() - startMillis;
     while (arrivals.hasNext() && arrivals.nextDueMillis() <= nowMillis) {
       send(arrivals.next());
     }
