--- a/standins/src/main/java/org/mustardstage/standins/demo/DemoMain.java
+++ b/standins/src/main/java/org/mustardstage/standins/demo/DemoMain.java
@@ -65,7 +65,9 @@
   private int runAndEnd() throws IOException, DocumentException, InterruptedException {
     Path top = Path.of("").toAbsolutePath();
     scratch = Files.createDirectories(top.resolve("standins/target/demo"));
-    processes = new Deployment(top, top.resolve("examples").resolve(deployment), scratch);
+    processes =
+        new Deployment(
+            Binaries.launchers(top), top.resolve("examples").resolve(deployment), scratch);
     Thread cleanUp = new Thread(this::endQuietly, "clean-up");
     Runtime.getRuntime().addShutdownHook(cleanUp);
     try {
--- /dev/null
+++ b/standins/src/test/java/org/mustardstage/standins/RealProcessTest.java
@@ -0,0 +1,134 @@
+package org.mustardstage.standins;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.schema.JsonMessages;
+import org.mustardstage.schema.SettingsReader;
+import org.mustardstage.schema.generated.LoadCallSummary;
+import org.mustardstage.schema.generated.LoadPlan;
+import org.mustardstage.schema.generated.LoadSummary;
+import org.mustardstage.schema.generated.OperatorSubmission;
+import org.mustardstage.standins.demo.Binaries;
+import org.mustardstage.standins.demo.Deployment;
+import org.mustardstage.standins.demo.Verdict;
+import org.mustardstage.standins.http.TestHttp;
+import org.mustardstage.standins.load.LoadMain;
+
+/** Kills, pauses and replaces entry VMs under load and holds outcomes against what ran. */
+class RealProcessTest {
+  private static final Path EXAMPLE = Path.of("..", "examples", "cooperative");
+  private static final Duration STEP = Duration.ofSeconds(2);
+  private static final ImmutableMap<String, String> MAIN_CLASSES =
+      ImmutableMap.of(
+          "mustardstage-platform", "org.mustardstage.standins.platform.PlatformMain",
+          "mustardstage-endpoint", "org.mustardstage.standins.endpoint.EndpointMain",
+          "mustardstage-entry", "org.mustardstage.entry.EntryMain");
+  private static final String PLAN =
+      """
+      seed: 20261204
+      requestsPerSecond: 60
+      durationMillis: 10000
+      callers: 40
+      calls:
+        - {service: order-desk, call: look-up-sample, weight: 3}
+        - {service: order-desk, call: book-press-run, weight: 3, bodyBytes: 300}
+        - {service: pattern-library, call: preview-swatch, weight: 2}
+      """;
+
+  @TempDir private Path folder;
+  private Deployment deployment;
+
+  @BeforeEach
+  void start() throws Exception {
+    copyExample();
+    Binaries binaries = RealProcessTest::command;
+    deployment = new Deployment(binaries, folder, folder);
+    deployment.start(1);
+    submit();
+    deployment.awaitReady();
+  }
+
+  @AfterEach
+  void stop() throws InterruptedException {
+    deployment.end();
+  }
+
+  @Test
+  void promisesHoldWhileEntryVmsAreKilledPausedAndReplaced() throws Exception {
+    LoadPlan plan = SettingsReader.read(PLAN, LoadPlan.class).get();
+    CompletableFuture<LoadSummary> load =
+        CompletableFuture.supplyAsync(
+            () -> LoadMain.run(deployment.manifest(), plan, deployment.trafficAddresses()));
+    Thread.sleep(STEP);
+    deployment.entryVm("regina-b-vm-1").kill();
+    deployment.entryVm("saskatoon-a-vm-1").pause();
+    Thread.sleep(STEP);
+    deployment.entryVm("saskatoon-a-vm-1").resume();
+    deployment.startEntryVm("regina-b-vm-1");
+
+    LoadSummary summary = load.join();
+    Verdict verdict = Verdict.of(summary, deployment.records());
+    assertThat(verdict.toString(), verdict.isGood(), equalTo(true));
+    assertThat(
+        summary.getCalls().stream().mapToLong(LoadCallSummary::getAnswered).sum(), greaterThan(0L));
+  }
+
+  private void submit() throws IOException {
+    TestHttp http = new TestHttp(HostAndPort.parse(deployment.adminAddress("regina-a-vm-1")));
+    byte[] submission =
+        JsonMessages.write(
+            new OperatorSubmission()
+                .withSubmissionId("real-process-test")
+                .withBaseVersion(0L)
+                .withSubmitter("test")
+                .withManifest(Files.readString(folder.resolve("demo-manifest.yaml"))));
+    int status =
+        http.call("POST", "/v1/submissions", new String(submission, StandardCharsets.UTF_8))
+            .statusCode();
+    assertThat(status, equalTo(200));
+  }
+
+  private void copyExample() throws IOException {
+    Files.createDirectory(folder.resolve("settings"));
+    try (Stream<Path> files = Files.walk(EXAMPLE)) {
+      for (Path file : files.filter(Files::isRegularFile).toList()) {
+        Path copy = folder.resolve(EXAMPLE.relativize(file).toString());
+        Files.writeString(copy, withOwnAddresses(Files.readString(file)));
+      }
+    }
+  }
+
+  /** Returns {@code text} with loopback addresses that no demo uses. */
+  private static String withOwnAddresses(String text) {
+    return text.replace("127.0.0.1:7100", "127.111.0.1:7100")
+        .replace("127.11.", "127.111.")
+        .replace("127.12.", "127.112.");
+  }
+
+  private static List<String> command(String name) {
+    return ImmutableList.of(
+        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-Xmx160m",
+        "-XX:+UseSerialGC",
+        "-cp",
+        System.getProperty("java.class.path"),
+        MAIN_CLASSES.get(name));
+  }
+}
