--- a/core/src/main/java/org/mustardstage/core/permit/Tenure.java
+++ b/core/src/main/java/org/mustardstage/core/permit/Tenure.java
@@ -51,7 +51,8 @@
   public VmIncarnation ownerOf(LimitState limit, int number, VmIncarnation issuer) {
     ZoneOwnership ownership = zones.get(limit.zone);
     VmIncarnation owner = ownership == null ? null : ownership.ownerOf(limit.partOf(number));
-    return owner == null ? issuer : owner;
+    boolean isOutdated = context.self.equals(owner) && !limit.isOwned(number);
+    return owner == null || isOutdated ? issuer : owner;
   }
 
   /** Takes over a list that is newer than the known one. */
--- /dev/null
+++ b/standins/src/main/java/org/mustardstage/standins/bench/limits/GrantTimer.java
@@ -0,0 +1,77 @@
+package org.mustardstage.standins.bench.limits;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.VmIncarnation;
+import org.mustardstage.core.permit.AcquireRequest;
+import org.mustardstage.core.permit.Limit;
+import org.mustardstage.core.permit.LimitId;
+import org.mustardstage.core.permit.OwnershipList;
+import org.mustardstage.core.permit.PermitAction;
+import org.mustardstage.core.permit.PermitAgent;
+import org.mustardstage.core.permit.PermitSettings;
+import org.mustardstage.core.permit.ProposalEnd;
+
+/** Times a grant and its release from permits at hand. */
+final class GrantTimer {
+  private static final int ROUNDS = 2_000_000;
+  private static final int CANDIDATES = 12;
+  private static final long SECOND_NANOS = 1_000_000_000L;
+
+  private GrantTimer() {}
+
+  /** Returns the nanoseconds of one grant and release with {@code limitCount} limits known. */
+  static double nanosPerGrant(int limitCount) {
+    PermitAgent agent = ownerOfAll(limitCount);
+    List<LimitId> candidates = new ArrayList<>();
+    for (int index = 0; index < CANDIDATES; index++) {
+      candidates.add(limit(index));
+    }
+    time(agent, candidates);
+    return time(agent, candidates);
+  }
+
+  private static LimitId limit(int index) {
+    return LimitId.slotsOf(new EndpointId("endpoint-" + index));
+  }
+
+  private static PermitAgent ownerOfAll(int limitCount) {
+    VmIncarnation self = new VmIncarnation(new VmId("entry-0"), 1);
+    PermitAgent agent =
+        new PermitAgent(
+            PermitSettings.defaults(), self, PermitPolicy.ZONE, new SplittableRandom(1));
+    List<Limit> limits = new ArrayList<>();
+    for (int index = 0; index < limitCount; index++) {
+      limits.add(new Limit(limit(index), PermitPolicy.ZONE, 9));
+    }
+    agent.onLimits(1, 1, limits);
+    agent.onOwnershipList(1, OwnershipList.absent(PermitPolicy.ZONE));
+    for (PermitAction action : agent.onTick(2)) {
+      if (action instanceof PermitAction.ProposeOwnership propose) {
+        agent.onProposalEnd(3, propose.proposal(), ProposalEnd.COMMITTED);
+        agent.onOwnershipList(
+            4, new OwnershipList(PermitPolicy.ZONE, 1, propose.proposal().owners()));
+      }
+    }
+    return agent;
+  }
+
+  private static double time(PermitAgent agent, List<LimitId> candidates) {
+    long granted = 0;
+    long startNanos = System.nanoTime();
+    for (int round = 0; round < ROUNDS; round++) {
+      List<PermitAction> actions =
+          agent.acquire(5, new AcquireRequest(round, candidates, SECOND_NANOS, SECOND_NANOS));
+      granted += actions.getFirst() instanceof PermitAction.Granted ? 1 : 0;
+      agent.release(5, round, true);
+    }
+    long elapsedNanos = System.nanoTime() - startNanos;
+    if (granted != ROUNDS) {
+      throw new IllegalStateException("granted only " + granted + " of " + ROUNDS);
+    }
+    return elapsedNanos / (double) ROUNDS;
+  }
+}
