Permits: leases that are out at a handover can be renewed and returned

Change: the stamp of the lease in force is kept apart from the largest stamp seen; a VM that is stopping gets no more idle permits it called for.

--- a/core/src/main/java/org/mustardstage/core/permit/LeaseBook.java
+++ b/core/src/main/java/org/mustardstage/core/permit/LeaseBook.java
@@ -68,8 +68,9 @@
       return false;
     }
     long untilNanos = nowNanos + leaseNanosFor(peer, limit);
-    limit.raiseStamp(number, Stamps.firstOf(ownership.revisionOf(limit)));
-    limit.raiseStamp(number, Stamps.nextLease(limit.stamp(number)));
+    long stamp = limit.nextStamp(number, Stamps.firstOf(ownership.revisionOf(limit)));
+    limit.setIssuedStamp(number, stamp);
+    limit.raiseStamp(number, stamp);
     limit.becomeLeasedOut(number, untilNanos);
     addTransfer(
         peer, correlationId, limit, number, context.self, untilNanos - mark.receivedNanos());
@@ -144,10 +145,9 @@
       return false;
     }
     if (!limit.isOut(name.number())
-        || !context.guards.isLeaseInForce(name.stamp(), limit.stamp(name.number()))) {
+        || !context.guards.isLeaseInForce(name.stamp(), limit.issuedStamp(name.number()))) {
       return false;
     }
-    limit.raiseStamp(name.number(), name.stamp());
     limit.becomeAtHand(name.number(), nowNanos);
     return true;
   }
@@ -205,7 +205,7 @@
     return number >= 0
         && context.guards.isWithinLimit(number, limit.permits())
         && limit.isOut(number)
-        && context.guards.isLeaseInForce(name.stamp(), limit.stamp(number))
+        && context.guards.isLeaseInForce(name.stamp(), limit.issuedStamp(number))
         && ownership.mayUse(limit, number, nowNanos);
   }
 
--- a/core/src/main/java/org/mustardstage/core/permit/LimitState.java
+++ b/core/src/main/java/org/mustardstage/core/permit/LimitState.java
@@ -35,6 +35,7 @@
   private long[] useUntilNanos = new long[0];
   private long[] idleSinceNanos = new long[0];
   private long[] stamps = new long[0];
+  private long[] issuedStamps = new long[0];
   private long[] requests = new long[0];
   private VmIncarnation[] issuers = new VmIncarnation[0];
 
@@ -93,6 +94,7 @@
     useUntilNanos = Arrays.copyOf(useUntilNanos, count);
     idleSinceNanos = Arrays.copyOf(idleSinceNanos, count);
     stamps = Arrays.copyOf(stamps, count);
+    issuedStamps = Arrays.copyOf(issuedStamps, count);
     requests = Arrays.copyOf(requests, count);
     issuers = Arrays.copyOf(issuers, count);
     Arrays.fill(requests, old, count, NO_REQUEST);
@@ -143,6 +145,7 @@
     return idleSinceNanos[number];
   }
 
+  /** Returns the largest stamp of a lease that this VM held. */
   long stamp(int number) {
     return stamps[number];
   }
@@ -155,6 +158,20 @@
     return issuers[number];
   }
 
+  /** Returns the stamp of the lease that is out, or the largest that was. */
+  long issuedStamp(int number) {
+    return issuedStamps[number];
+  }
+
+  void setIssuedStamp(int number, long stamp) {
+    issuedStamps[number] = stamp;
+  }
+
+  /** Returns the stamp of the next lease, past {@code floor} and all that are known here. */
+  long nextStamp(int number, long floor) {
+    return Stamps.nextLease(Math.max(floor, Math.max(stamps[number], issuedStamps[number])));
+  }
+
   void raiseStamp(int number, long stamp) {
     stamps[number] = Math.max(stamps[number], stamp);
   }
@@ -163,7 +180,7 @@
   void continueStamps(LimitState old) {
     track(old.tracked());
     for (int number = 0; number < old.tracked(); number++) {
-      stamps[number] = Stamps.pastZone(old.stamps[number]);
+      stamps[number] = Stamps.pastZone(Math.max(old.stamps[number], old.issuedStamps[number]));
     }
   }
 
--- a/core/src/main/java/org/mustardstage/core/permit/PermitAgent.java
+++ b/core/src/main/java/org/mustardstage/core/permit/PermitAgent.java
@@ -142,6 +142,7 @@
       case PermitMessage.StopAnnounced stop -> {
         context.members.announceStop(from);
         upkeep.chooseAllocators();
+        upkeep.forgetCallsOf(from);
       }
     }
     return end(nowNanos);
--- a/core/src/main/java/org/mustardstage/core/permit/PermitUpkeep.java
+++ b/core/src/main/java/org/mustardstage/core/permit/PermitUpkeep.java
@@ -52,6 +52,15 @@
     }
   }
 
+  /** Sends idle permits no more to a VM that called for them. */
+  void forgetCallsOf(VmIncarnation vm) {
+    for (LimitState limit : context.table.all()) {
+      if (vm.equals(limit.wantedBy)) {
+        limit.wantedBy = null;
+      }
+    }
+  }
+
   /** Ends leases and uses whose time is over, and offers what is free. */
   void expire(long nowNanos) {
     for (LimitState limit : context.table.all()) {
--- a/core/src/main/java/org/mustardstage/core/permit/Tenure.java
+++ b/core/src/main/java/org/mustardstage/core/permit/Tenure.java
@@ -81,7 +81,7 @@
       int part = limit.partOf(number);
       if (parts.contains(part)) {
         limit.becomeUnusable(number, ownership.usableAtNanos(part));
-        limit.raiseStamp(number, Stamps.firstOf(ownership.revision()));
+        limit.setIssuedStamp(number, Stamps.firstOf(ownership.revision()));
       }
     }
   }
@@ -120,7 +120,7 @@
       if (!ownership.isOwned(part) || limit.isOwned(number)) {
         continue;
       }
-      limit.raiseStamp(number, Stamps.firstOf(ownership.revision()));
+      limit.setIssuedStamp(number, Stamps.firstOf(ownership.revision()));
       long usableNanos = Math.max(notBeforeNanos, ownership.usableAtNanos(part));
       if (context.guards.mayReclaim(nowNanos, usableNanos)) {
         limit.becomeAtHand(number, nowNanos);
@@ -137,22 +137,25 @@
       for (int number = 0; number < limit.tracked(); number++) {
         boolean isHanded = limit.isOwned(number) && parts.contains(limit.partOf(number));
         if (isHanded && limit.zone.equals(ownership.zone)) {
-          handed.add(describe(limit, number, nowNanos));
+          handed.add(describe(ownership, limit, number, nowNanos));
         }
       }
     }
     return handed;
   }
 
-  private HandedPermit describe(LimitState limit, int number, long nowNanos) {
+  private HandedPermit describe(
+      ZoneOwnership ownership, LimitState limit, int number, long nowNanos) {
     long untilNanos = limit.outUntilNanos(number);
     if (limit.isOwnedAtHand(number) && limit.isUsed(number)) {
-      limit.raiseStamp(number, Stamps.nextLease(limit.stamp(number)));
+      long stamp = limit.nextStamp(number, Stamps.firstOf(ownership.revision()));
+      limit.setIssuedStamp(number, stamp);
+      limit.raiseStamp(number, stamp);
       untilNanos = limit.useUntilNanos(number);
     }
     long leftNanos = Math.max(0, untilNanos - nowNanos);
     long unusableNanos = leftNanos == 0 ? 0 : context.settings.stretch(leftNanos);
-    return new HandedPermit(limit.id, number, limit.stamp(number), unusableNanos);
+    return new HandedPermit(limit.id, number, limit.issuedStamp(number), unusableNanos);
   }
 
   /** Takes over what a handover that arrived at {@code receivedNanos} tells. */
@@ -195,7 +198,7 @@
       return;
     }
     limit.track(permit.number() + 1);
-    limit.raiseStamp(permit.number(), permit.stamp());
+    limit.setIssuedStamp(permit.number(), permit.stamp());
     limit.becomeLeasedOut(permit.number(), receivedNanos + permit.unusableNanos());
   }
 }
--- a/core/src/test/java/org/mustardstage/core/permit/PermitAgentTest.java
+++ b/core/src/test/java/org/mustardstage/core/permit/PermitAgentTest.java
@@ -255,6 +255,26 @@
     assertThat(owner.granted(), contains(1L));
   }
 
+  /**
+   * Found by the bench: leases that were out at a handover could be neither renewed nor returned.
+   */
+  @Test
+  void leaseThatWasOutAtAHandoverIsProlongedAndTakenBack() {
+    AgentDriver owner = AgentDriver.withoutOwnership(1);
+    owner.list(1, PEER);
+    owner.halfList(2);
+    owner.handover(
+        1, List.of(new PermitMessage.HandedPermit(AgentDriver.LIMIT, 0, 256, 5 * SECOND)));
+    owner.confirm();
+    List<PermitMessage.LeaseName> lease =
+        List.of(new PermitMessage.LeaseName(AgentDriver.LIMIT, 0, 257));
+    owner.message(new PermitMessage.LeaseRenewal(owner.nextPeerMark(), lease));
+    assertThat(owner.sent(PermitMessage.LeaseRenewed.class), hasSize(1));
+    owner.acquire(1, SECOND);
+    owner.message(new PermitMessage.LeaseReturn(owner.nextPeerMark(), lease));
+    assertThat(owner.granted(), contains(1L));
+  }
+
   @Test
   void lesseeGrantsWithinItsLease() {
     AgentDriver lessee = AgentDriver.withOwningPeer(1);
