--- a/entry/src/main/java/org/mustardstage/entry/traffic/SilenceDetector.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/SilenceDetector.java
@@ -95,6 +95,7 @@
     private final Endpoint endpoint;
     private EndpointConnection connection;
     private boolean busy;
+    private long lastAskedNanos = System.nanoTime() - silentAfterNanos;
 
     Witness(Endpoint endpoint) {
       this.endpoint = endpoint;
@@ -111,10 +112,12 @@
 
     /** Asks the witness, and when it is silent, whether a new connection works. */
     void prove() {
-      if (busy) {
+      long nowNanos = System.nanoTime();
+      if (busy || nowNanos - lastAskedNanos < silentAfterNanos) {
         return;
       }
       busy = true;
+      lastAskedNanos = nowNanos;
       if (!connection.isIdle()) {
         replaceBy(thread.connectionsTo(endpoint).createOutsidePool());
       }
--- a/standins/src/main/java/org/mustardstage/standins/bench/traffic/Load.java
+++ b/standins/src/main/java/org/mustardstage/standins/bench/traffic/Load.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.Histogram;
 
 /** Sends GET requests to one URL and records how long each whole answer took. */
@@ -16,6 +17,7 @@
   private static final long HIGHEST_NANOS = TimeUnit.SECONDS.toNanos(60);
   private static final int DIGITS = 3;
   private static final int MAX_RUNNING = 256;
+  private static final long PACE_NANOS = 20_000;
 
   private final LoopThread loop;
   private final HttpClient client;
@@ -58,15 +60,17 @@
    * connections counts from when it was due.
    */
   Result runOpen(double requestsPerSecond, int seconds) {
-    CompletableFuture<Void> done = new CompletableFuture<>();
-    long spacingNanos = (long) (TimeUnit.SECONDS.toNanos(1) / requestsPerSecond);
+    Pacer pacer = new Pacer((long) (TimeUnit.SECONDS.toNanos(1) / requestsPerSecond));
     loop.run(
             () -> {
               begin(seconds);
-              sendDue(System.nanoTime(), spacingNanos, new int[1], done);
+              pacer.dueNanos = System.nanoTime();
             })
         .join();
-    done.join();
+    while (!pacer.done) {
+      loop.run(pacer::sendDue).join();
+      LockSupport.parkNanos(PACE_NANOS);
+    }
     return result(seconds);
   }
 
@@ -85,23 +89,6 @@
     send(startNanos).whenComplete(() -> loop.reactor().post(() -> repeat(onEnd)));
   }
 
-  private void sendDue(
-      long nextNanos, long spacingNanos, int[] running, CompletableFuture<Void> done) {
-    long due = nextNanos;
-    long nowNanos = System.nanoTime();
-    while (due - nowNanos <= 0 && due - endNanos < 0 && running[0] < MAX_RUNNING) {
-      running[0]++;
-      send(due).whenComplete(() -> running[0]--);
-      due += spacingNanos;
-    }
-    if (due - endNanos >= 0 && running[0] == 0) {
-      done.complete(null);
-      return;
-    }
-    long next = due;
-    loop.reactor().postLast(() -> sendDue(next, spacingNanos, running, done));
-  }
-
   private Promise<Void> send(long intendedNanos) {
     HttpRequest request =
         HttpRequest.get(url).withHeader(HttpHeaders.of("Mustardstage-Service"), "desk").build();
@@ -125,6 +112,28 @@
     loop.close();
   }
 
+  /** Sends the requests that are due. It is used on the event loop, but for {@code done}. */
+  private final class Pacer {
+    private final long spacingNanos;
+    private long dueNanos;
+    private int running;
+    private volatile boolean done;
+
+    Pacer(long spacingNanos) {
+      this.spacingNanos = spacingNanos;
+    }
+
+    void sendDue() {
+      long nowNanos = System.nanoTime();
+      while (dueNanos - nowNanos <= 0 && dueNanos - endNanos < 0 && running < MAX_RUNNING) {
+        running++;
+        send(dueNanos).whenComplete(() -> running--);
+        dueNanos += spacingNanos;
+      }
+      done = dueNanos - endNanos >= 0 && running == 0;
+    }
+  }
+
   /**
    * What was measured.
    *
--- a/standins/src/main/java/org/mustardstage/standins/bench/traffic/LoopThread.java
+++ b/standins/src/main/java/org/mustardstage/standins/bench/traffic/LoopThread.java
@@ -3,7 +3,7 @@
 import io.activej.eventloop.Eventloop;
 import java.util.concurrent.CompletableFuture;
 
-/** An event loop with a thread of its own. */
+/** An event loop with a daemon thread of its own, which ends with the last of its connections. */
 final class LoopThread implements AutoCloseable {
   private final Eventloop reactor;
   private final Thread thread;
@@ -26,6 +26,6 @@
 
   @Override
   public void close() {
-    reactor.breakEventloop();
+    reactor.keepAlive(false);
   }
 }
--- a/standins/src/main/java/org/mustardstage/standins/bench/traffic/TrafficBench.java
+++ b/standins/src/main/java/org/mustardstage/standins/bench/traffic/TrafficBench.java
@@ -39,7 +39,7 @@
           Load carried = new Load("carried", "http://" + entry.address() + "/read");
           Load lookups = new Load("lookups", "http://" + entry.address() + LOOKUP)) {
         measureAddedLatency(direct, carried);
-        measureLookups(lookups);
+        measureLookups(direct, lookups);
       }
     }
   }
@@ -47,9 +47,8 @@
   private void measureAddedLatency(Load direct, Load carried) {
     direct.runClosed(CONCURRENCY, seconds);
     carried.runClosed(CONCURRENCY, seconds);
-    Result most = carried.runClosed(CONCURRENCY, seconds);
-    print("carried, closed loop of %d", CONCURRENCY, most);
-    double rate = most.perSecond() * HALF;
+    Closed most = measureClosed("requests carried", carried, "traffic-");
+    double rate = most.result().perSecond() * HALF;
     direct.runOpen(rate, seconds);
     carried.runOpen(rate, seconds);
     Result alone = direct.runOpen(rate, seconds);
@@ -65,25 +64,36 @@
     }
   }
 
-  private void measureLookups(Load lookups) {
+  private void measureLookups(Load bare, Load lookups) {
     lookups.runClosed(CONCURRENCY, seconds);
-    long cpuBefore = trafficCpuNanos();
-    Result result = lookups.runClosed(CONCURRENCY, seconds);
-    double cpuSeconds = (trafficCpuNanos() - cpuBefore) / (double) TimeUnit.SECONDS.toNanos(1);
-    print("look-ups, closed loop of %d", CONCURRENCY, result);
+    double bareRate = measureClosed("bare HTTP answers", bare, "endpoint").perCpuSecond();
+    double lookupRate = measureClosed("look-ups", lookups, "traffic-").perCpuSecond();
+    System.out.printf("look-ups against bare HTTP answers: %.2f%n", lookupRate / bareRate);
+  }
+
+  private Closed measureClosed(String what, Load load, String serverThread) {
+    long cpuBefore = cpuNanos(serverThread);
+    Result result = load.runClosed(CONCURRENCY, seconds);
+    long cpuNanos = cpuNanos(serverThread) - cpuBefore;
+    double cpuSeconds = cpuNanos / (double) TimeUnit.SECONDS.toNanos(1);
+    Closed closed = new Closed(result, result.latencies().getTotalCount() / cpuSeconds);
+    print(what + ", closed loop of %d", CONCURRENCY, result);
     System.out.printf(
-        "look-ups a second of processor time: %.0f (%.2f cores busy)%n",
-        result.latencies().getTotalCount() / cpuSeconds, cpuSeconds / seconds);
+        "%s a second of processor time: %.0f (%.2f cores busy)%n",
+        what, closed.perCpuSecond(), cpuSeconds / seconds);
+    return closed;
   }
 
-  private static long trafficCpuNanos() {
+  private static long cpuNanos(String threadName) {
     ThreadMXBean threads = ManagementFactory.getThreadMXBean();
     return Arrays.stream(threads.getAllThreadIds())
-        .filter(id -> threads.getThreadInfo(id).getThreadName().startsWith("traffic-"))
+        .filter(id -> threads.getThreadInfo(id).getThreadName().startsWith(threadName))
         .map(threads::getThreadCpuTime)
         .sum();
   }
 
+  private record Closed(Result result, double perCpuSecond) {}
+
   private static void print(String what, int number, Result result) {
     System.out.printf(
         what + ": %.0f/s, p50 %.3f ms, p99 %.3f ms, p99.9 %.3f ms, failures %d%n",
