Find silent connections also while new ones answer

Cause: a connection made since the silence began counted as an older one that answers, so under load nothing was proven and requests waited out their deadline. Change: older means older than the connection in doubt, and than the witness; only requests that waited long on connections that old are given up. A test sends on while one request is stuck.

--- a/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnections.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnections.java
@@ -61,10 +61,10 @@
     old.forEach(EndpointConnection::close);
   }
 
-  /** Returns whether a connection made before {@code sentNanos} has answered since. */
-  boolean anOlderOneAnsweredSince(long sentNanos) {
+  /** Returns whether a connection made before {@code madeNanos} has answered since a time. */
+  boolean anOlderOneAnswered(long madeNanos, long sinceNanos) {
     return open.stream()
-        .anyMatch(c -> c.createdNanos() - sentNanos < 0 && c.lastReadNanos() - sentNanos > 0);
+        .anyMatch(c -> c.createdNanos() - madeNanos < 0 && c.lastReadNanos() - sinceNanos > 0);
   }
 
   /** Returns a new connection that carries probes or cancels and is not counted here. */
--- a/entry/src/main/java/org/mustardstage/entry/traffic/SilenceDetector.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/SilenceDetector.java
@@ -58,7 +58,9 @@
     long nowNanos = System.nanoTime();
     for (EndpointTry slow : slowTries(nowNanos)) {
       Witness witness = witnesses.get(slow.endpoint());
-      boolean olderAnswered = slow.connections().anOlderOneAnsweredSince(slow.startedNanos());
+      boolean olderAnswered =
+          slow.connections()
+              .anOlderOneAnswered(slow.connection().createdNanos(), slow.startedNanos());
       if (witness != null && !olderAnswered) {
         witness.prove();
       }
@@ -78,16 +80,25 @@
     return slow;
   }
 
-  private void closeSilent(Endpoint endpoint, long provenNanos) {
-    EndpointConnections connections = thread.connectionsTo(endpoint);
-    connections.closeIdleMadeBefore(provenNanos);
-    List<EndpointTry> silent =
-        waiting.stream()
-            .filter(t -> t.endpoint().equals(endpoint))
-            .filter(t -> t.connection().createdNanos() - provenNanos < 0)
-            .filter(t -> provenNanos - t.connection().lastReadNanos() > 0)
-            .toList();
-    silent.forEach(EndpointTry::abandonSilent);
+  /**
+   * Gives up what waits on silent connections. Connections made after the longest waiting request
+   * was sent are spared: they were made since the silence began.
+   */
+  private void closeSilent(Endpoint endpoint) {
+    List<EndpointTry> slow =
+        slowTries(System.nanoTime()).stream().filter(t -> t.endpoint().equals(endpoint)).toList();
+    if (slow.isEmpty()) {
+      return;
+    }
+    EndpointTry longest = slow.get(0);
+    long madeNanos = longest.connection().createdNanos();
+    long sentNanos = longest.startedNanos();
+    long silentUntilNanos = madeNanos - sentNanos > 0 ? madeNanos : sentNanos;
+    thread.connectionsTo(endpoint).closeIdleMadeBefore(silentUntilNanos);
+    slow.stream()
+        .filter(t -> t.connection().createdNanos() - silentUntilNanos <= 0)
+        .toList()
+        .forEach(EndpointTry::abandonSilent);
   }
 
   /** The connection to one endpoint that tells a silent path from a slow request. */
@@ -137,10 +148,12 @@
 
     private void onFreshAnswer(EndpointConnection fresh, ProbeResult result, long askedNanos) {
       busy = false;
+      long witnessNanos = connection.createdNanos();
       replaceBy(fresh);
-      boolean olderAnswered = thread.connectionsTo(endpoint).anOlderOneAnsweredSince(askedNanos);
+      boolean olderAnswered =
+          thread.connectionsTo(endpoint).anOlderOneAnswered(witnessNanos, askedNanos);
       if (result == ProbeResult.ANSWERED && !olderAnswered) {
-        closeSilent(endpoint, askedNanos);
+        closeSilent(endpoint);
       }
     }
 
--- a/entry/src/test/java/org/mustardstage/entry/traffic/FakeEndpoint.java
+++ b/entry/src/test/java/org/mustardstage/entry/traffic/FakeEndpoint.java
@@ -41,6 +41,7 @@
 
   private final String name;
   private final ServerSocket server;
+  private final Thread acceptor;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final List<Received> received = new CopyOnWriteArrayList<>();
   private final List<String> cancels = new CopyOnWriteArrayList<>();
@@ -53,7 +54,7 @@
   FakeEndpoint(String name) throws IOException {
     this.name = name;
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    Thread.ofVirtual().start(this::accept);
+    acceptor = Thread.ofVirtual().start(this::accept);
   }
 
   void script(Script next) {
@@ -90,9 +91,13 @@
         CONNECTIONS);
   }
 
+  /** Closes the endpoint; when it returns, no connection can be made any more. */
   @Override
   public void close() throws IOException {
     server.close();
+    while (acceptor.isAlive()) {
+      Thread.onSpinWait();
+    }
     for (Socket socket : sockets) {
       socket.close();
     }
--- a/entry/src/test/java/org/mustardstage/entry/traffic/SilenceDetectorTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/traffic/SilenceDetectorTest.java
@@ -64,6 +64,20 @@
     }
   }
 
+  @Test
+  void silenceIsFoundWhileNewConnectionsAnswer() {
+    endpoint.silenceOpenConnections();
+    bed.second.script((request, exchange) -> exchange.ok("elsewhere"));
+    CompletableFuture<HttpResponse<String>> silent =
+        entry.sendAsync(
+            entry.request("GET", "/swatches/2", "").header("Mustardstage-Service", "desk"));
+
+    while (!silent.isDone()) {
+      assertThat(entry.get("/swatches/3").statusCode(), is(200));
+    }
+    assertThat(silent.join().body(), is("elsewhere"));
+  }
+
   @Test
   void slowAnswerOnWorkingConnectionIsAwaited() throws Exception {
     long probesBefore = endpoint.probes();
