--- a/core/src/main/java/org/mustardstage/core/permit/PermitAgent.java
+++ b/core/src/main/java/org/mustardstage/core/permit/PermitAgent.java
@@ -1,9 +1,7 @@
 package org.mustardstage.core.permit;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.mustardstage.core.id.VmIncarnation;
@@ -71,14 +69,11 @@
   public List<PermitAction> onLimits(long nowNanos, long version, List<Limit> limits) {
     begin(nowNanos);
     if (version > context.table.version()) {
-      Map<LimitId, Integer> before = new HashMap<>();
-      context.table.all().forEach(limit -> before.put(limit.id, limit.tracked()));
       Set<LimitId> moved = context.table.update(version, limits);
       long movedUsableNanos = nowNanos + context.guards.takeoverWaitNanos(context.settings);
       for (LimitState limit : context.table.all()) {
-        boolean hasMoved = moved.contains(limit.id);
-        int first = hasMoved ? 0 : before.getOrDefault(limit.id, 0);
-        tenure.addPermits(limit, first, hasMoved ? movedUsableNanos : nowNanos, nowNanos);
+        long usableNanos = moved.contains(limit.id) ? movedUsableNanos : nowNanos;
+        tenure.addPermits(limit, usableNanos, nowNanos);
       }
       upkeep.chooseAllocators();
       upkeep.expire(nowNanos);
--- a/core/src/main/java/org/mustardstage/core/permit/Tenure.java
+++ b/core/src/main/java/org/mustardstage/core/permit/Tenure.java
@@ -108,13 +108,16 @@
     }
   }
 
-  /** Takes over permits that the manifest added from {@code firstNumber} on. */
-  void addPermits(LimitState limit, int firstNumber, long notBeforeNanos, long nowNanos) {
+  /**
+   * Takes over permits that the manifest added. A handover may have named larger numbers before, so
+   * all numbers are looked at.
+   */
+  void addPermits(LimitState limit, long notBeforeNanos, long nowNanos) {
     ZoneOwnership ownership = zones.get(limit.zone);
     if (ownership == null) {
       return;
     }
-    for (int number = firstNumber; number < limit.tracked(); number++) {
+    for (int number = 0; number < limit.tracked(); number++) {
       int part = limit.partOf(number);
       if (!ownership.isOwned(part) || limit.isOwned(number)) {
         continue;
--- /dev/null
+++ b/core/src/test/java/org/mustardstage/core/fuzz/PermitFuzzTest.java
@@ -0,0 +1,55 @@
+package org.mustardstage.core.fuzz;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.mustardstage.core.permit.PermitFault;
+
+class PermitFuzzTest {
+  private static final long SEED = 20_000;
+  private static final int RUNS = 400;
+  private static final int FAULT_RUNS = 1_000;
+  private static final PermitScenario SOUND = new PermitScenario(PermitFault.NONE);
+
+  @Test
+  void keepsItsPromises() {
+    assertThat(Fuzzer.search(SOUND, SEED, RUNS), is(Optional.empty()));
+  }
+
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+  void findsSeededFault(PermitFault fault) {
+    SeededFaults.assertFound(fault, new PermitScenario(fault), SOUND, SEED, FAULT_RUNS);
+  }
+
+  /** Found by the fuzzer, seed 20262: a handover named a permit that the manifest here lacked. */
+  @Test
+  void permitOfAGrownLimitIsUsableAfterAHandoverFromANewerManifest() {
+    List<PermitStep> steps =
+        List.of(
+            new PermitStep.Load(50, 2, 0, 50),
+            new PermitStep.Restart(0),
+            new PermitStep.Split(2),
+            new PermitStep.Load(169, 8, 34, 57),
+            new PermitStep.CutOff(0, true),
+            new PermitStep.Load(54, 9, 9, 56),
+            new PermitStep.Load(188, 15, 12, 70),
+            new PermitStep.Restart(3),
+            new PermitStep.Load(129, 6, 12, 146),
+            new PermitStep.CutOff(1, true),
+            new PermitStep.LoseStoreAnswers(2),
+            new PermitStep.Messages(14, 15, 56),
+            new PermitStep.Load(63, 11, 8, 67),
+            new PermitStep.Resize(1, 1),
+            new PermitStep.Restart(2),
+            new PermitStep.Messages(11, 20, 124),
+            new PermitStep.Load(276, 15, 1, 64),
+            new PermitStep.Resize(0, 5));
+    assertThat(SOUND.run(steps), is(Optional.empty()));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/mustardstage/core/fuzz/ShareFuzzTest.java
@@ -0,0 +1,26 @@
+package org.mustardstage.core.fuzz;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class ShareFuzzTest {
+  private static final long SEED = 30_000;
+  private static final int RUNS = 1_000;
+  private static final ShareScenario SOUND = new ShareScenario(ShareFault.NONE);
+
+  @Test
+  void keepsItsPromises() {
+    assertThat(Fuzzer.search(SOUND, SEED, RUNS), is(Optional.empty()));
+  }
+
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+  void findsSeededFault(ShareFault fault) {
+    SeededFaults.assertFound(fault, new ShareScenario(fault), SOUND, SEED, RUNS);
+  }
+}
