Models of configuration and of idempotency keys, and scripts/soak

Change: Config.tla and AtMostOnce.tla with ten guards, each refuted when left out; a class loader of TLC for each specification, as variables of another specification leak through its static fields; scripts/soak runs the fuzzers with other seeds. Found by the model of configuration: a late write may take effect between the look at the submission row and the read of the head, and then a submission that was applied is told a conflict. Conclusion: the conditions on the head and on the absent submission row are both needed.

--- /dev/null
+++ b/core/src/test/java/org/mustardstage/core/fuzz/SoakTest.java
@@ -0,0 +1,45 @@
+package org.mustardstage.core.fuzz;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+import org.mustardstage.core.permit.PermitFault;
+
+/** Runs the fuzzers with other seeds for a given time; started by {@code scripts/soak}. */
+@EnabledIfSystemProperty(named = "soak.seed", matches = "\\d+")
+class SoakTest {
+  private static final String EVERY_SCENARIO = "all";
+  private static final List<Scenario<?>> SCENARIOS =
+      List.of(
+          new PermitScenario(PermitFault.NONE),
+          new ShareScenario(ShareFault.NONE),
+          new KeyScenario(KeyFault.NONE));
+
+  @Test
+  void keepsAllPromises() {
+    long endNanos =
+        System.nanoTime() + Duration.ofMinutes(Long.getLong("soak.minutes", 1)).toNanos();
+    long maxRuns = Long.getLong("soak.runs", Long.MAX_VALUE);
+    long seed = Long.getLong("soak.seed");
+    long runs = 0;
+    while (runs < maxRuns && System.nanoTime() < endNanos) {
+      for (Scenario<?> scenario : chosen()) {
+        assertThat(Fuzzer.search(scenario, seed + runs, 1), is(Optional.empty()));
+      }
+      runs++;
+    }
+    System.out.println("soak: " + runs + " sequences of each scenario from seed " + seed);
+  }
+
+  private static List<Scenario<?>> chosen() {
+    String name = System.getProperty("soak.scenario", EVERY_SCENARIO);
+    return SCENARIOS.stream()
+        .filter(scenario -> name.equals(EVERY_SCENARIO) || name.equals(scenario.name()))
+        .toList();
+  }
+}
--- /dev/null
+++ b/model/src/test/java/org/mustardstage/model/AtMostOnceModelTest.java
@@ -0,0 +1,38 @@
+package org.mustardstage.model;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Checks the protocol of idempotency keys, and that each of its guards is needed. */
+class AtMostOnceModelTest {
+  private static final String SPECIFICATION = "AtMostOnce";
+
+  @Test
+  void holds() {
+    TlcResult result = Tlc.check(SPECIFICATION, SPECIFICATION);
+    Report.held(SPECIFICATION, result);
+    assertThat(result.output(), result.holds(), is(true));
+    assertThat(result.distinctStates(), is(448L));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "HomeIsIncarnation, OneRun",
+    "JoinsRunning, OneRun",
+    "RemembersEnd, OneRun",
+    "RefusesForgotten, OneRun",
+    "TimeoutIsUnknown, NotRunIsTrue",
+    "RetryNeedsRefusal, OneRun",
+  })
+  void failsWithoutGuard(String guard, String property) {
+    Tlc.Constant constant = new Tlc.Constant(guard, "FALSE");
+    TlcResult result = Tlc.checkChanged(SPECIFICATION, SPECIFICATION, constant, property);
+    Report.refuted(SPECIFICATION, constant, result);
+    assertThat(result.output(), result.violated(), is(Optional.of(property)));
+  }
+}
--- /dev/null
+++ b/model/src/test/java/org/mustardstage/model/ConfigModelTest.java
@@ -0,0 +1,36 @@
+package org.mustardstage.model;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Checks the acceptance and spread of manifests, and that each guard is needed. */
+class ConfigModelTest {
+  private static final String SPECIFICATION = "Config";
+
+  @Test
+  void holds() {
+    TlcResult result = Tlc.check(SPECIFICATION, SPECIFICATION);
+    Report.held(SPECIFICATION, result);
+    assertThat(result.output(), result.holds(), is(true));
+    assertThat(result.distinctStates(), is(55374L));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "ConditionalWrite, OnlyAccepted",
+    "RowMustBeAbsent, AppliedOnce",
+    "ConflictReadsSubmission, ToldTheTruth",
+    "NeverGoesBack, NeverReverts",
+  })
+  void failsWithoutGuard(String guard, String property) {
+    Tlc.Constant constant = new Tlc.Constant(guard, "FALSE");
+    TlcResult result = Tlc.checkChanged(SPECIFICATION, SPECIFICATION, constant, property);
+    Report.refuted(SPECIFICATION, constant, result);
+    assertThat(result.output(), result.violated(), is(Optional.of(property)));
+  }
+}
--- a/model/src/test/java/org/mustardstage/model/Tlc.java
+++ b/model/src/test/java/org/mustardstage/model/Tlc.java
@@ -10,18 +10,21 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
  * Runs TLC inside this process. TLC keeps state in static fields. A run that checks liveness
- * therefore loads TLC afresh; the others share one copy, and their tests hold the number of states.
+ * therefore loads TLC afresh; the others of one specification share a copy, and their tests hold
+ * the number of states.
  */
 final class Tlc {
   private static final Path SPECIFICATIONS = Path.of("src", "main", "tla");
   private static final int WORKERS = 1;
-  private static final ClassLoader SHARED = freshLoader();
+  private static final Map<String, ClassLoader> LOADERS = new HashMap<>();
 
   private Tlc() {}
 
@@ -85,7 +88,10 @@
     };
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     String text = Files.readString(directory.resolve(config));
-    ClassLoader loader = text.contains("PROPERTY") ? freshLoader() : SHARED;
+    ClassLoader loader =
+        text.contains("PROPERTY")
+            ? freshLoader()
+            : LOADERS.computeIfAbsent(module, key -> freshLoader());
     try (PrintStream capture = new PrintStream(bytes, true, StandardCharsets.UTF_8)) {
       Class<?> toolIo = loader.loadClass("util.ToolIO");
       toolIo.getField("out").set(null, capture);
