--- a/core/src/main/java/org/mustardstage/core/route/OutlierEjection.java
+++ b/core/src/main/java/org/mustardstage/core/route/OutlierEjection.java
@@ -51,6 +51,9 @@
 
   /** Returns whether a request may go to {@code endpoint}, one that may serve as a probe or not. */
   public boolean mayTake(EndpointId endpoint, boolean mayProbe) {
+    if (out.isEmpty()) {
+      return true;
+    }
     return switch (stateOf(endpoint)) {
       case Active active -> true;
       case Ejected ejected -> false;
