--- a/entry/src/main/java/org/mustardstage/entry/control/SubmissionService.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/SubmissionService.java
@@ -134,7 +134,7 @@
       Submission submission, Manifest manifest, Optional<Row> headRow) {
     ConfigHead current = headRow.flatMap(Rows::toHead).orElse(ConfigHead.NONE);
     if (!current.version().equals(submission.baseVersion())) {
-      return Promise.of(new SubmissionEnd.Conflict(current.version()));
+      return settleConflict(submission);
     }
     long headRevision = headRow.map(Row::revision).orElse(Transaction.ABSENT);
     return Promise.ofBlocking(reader, () -> ManifestParts.split(manifest))
