--- a/core/src/test/java/org/mustardstage/core/permit/FakeEndpoints.java
+++ b/core/src/test/java/org/mustardstage/core/permit/FakeEndpoints.java
@@ -1,14 +1,20 @@
 package org.mustardstage.core.permit;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ToIntFunction;
 
-/** Counts the requests that run at each endpoint, as the endpoint itself would. */
+/**
+ * Counts the requests that run at each endpoint, as the endpoint itself would, and checks that no
+ * permit is used twice at once.
+ */
 public final class FakeEndpoints {
   private final EventQueue events;
   private final ToIntFunction<LimitId> allowed;
   private final Map<LimitId, Integer> running = new HashMap<>();
+  private final Set<Permit> used = new HashSet<>();
   private final Map<LimitId, Integer> most = new HashMap<>();
   private long completed;
   private String violation;
@@ -24,7 +30,11 @@
   }
 
   /** Runs a request that ends by itself or at its deadline, whichever comes first. */
-  public void run(LimitId limit, long serviceNanos, long deadlineNanos, Runnable onAnswer) {
+  public void run(Permit permit, long serviceNanos, long deadlineNanos, Runnable onAnswer) {
+    LimitId limit = permit.limit();
+    if (!used.add(permit) && violation == null) {
+      violation = permit + " used twice at " + events.nowNanos();
+    }
     int now = running.merge(limit, 1, Integer::sum);
     most.merge(limit, now, Math::max);
     if (now > allowed.applyAsInt(limit) && violation == null) {
@@ -41,6 +51,7 @@
     events.after(
         Math.min(serviceNanos, deadlineNanos),
         () -> {
+          used.remove(permit);
           running.merge(limit, -1, Integer::sum);
           if (isAnswered) {
             completed++;
@@ -49,7 +60,7 @@
         });
   }
 
-  /** Returns the first time that a limit was exceeded, or null. */
+  /** Returns the first time that a limit was exceeded or a permit used twice, or null. */
   public String violation() {
     return violation;
   }
--- a/core/src/test/java/org/mustardstage/core/permit/VirtualVm.java
+++ b/core/src/test/java/org/mustardstage/core/permit/VirtualVm.java
@@ -231,7 +231,7 @@
             cluster
                 .endpoints()
                 .run(
-                    grant.permit().limit(),
+                    grant.permit(),
                     Math.abs(signedServiceNanos),
                     leftNanos,
                     () -> onAnswer(grant, isAnswered)));
