--- a/core/src/test/java/org/mustardstage/core/permit/PermitAgentTest.java
+++ b/core/src/test/java/org/mustardstage/core/permit/PermitAgentTest.java
@@ -330,6 +330,18 @@
     assertThat(lessee.agent.status(lessee.nowNanos).permitsLeasedIn(), is(0));
   }
 
+  @Test
+  void duplicateOfALeaseThatWasGivenBackIsIgnored() {
+    AgentDriver lessee = AgentDriver.withOwningPeer(1);
+    long mark = lessee.ownMark();
+    lessee.transfer(0, 256, mark, 9 * SECOND);
+    request(lessee, 1);
+    assertThat(lessee.sent(PermitMessage.LeaseReturn.class), hasSize(1));
+    lessee.transfer(0, 256, mark, 9 * SECOND);
+    lessee.acquire(1, SECOND);
+    assertThat(lessee.granted(), is(empty()));
+  }
+
   @Test
   void ownerLeasesToAPeerAndGrantsAgainAfterTheLease() {
     AgentDriver owner = AgentDriver.ownerOfHalf(1);
