Hold messages to a VM until it has said which run it is

Cause: PeerNetworkTest (new) found that messages sent between the connection and the other's hello were dropped, and that a message for an earlier run of a VM reached the later one; permits lost that way stay idle until their lease ends. Change: messages wait for the hello and go only to the run they are for; the router is told the number of entry VMs.

--- a/entry/src/main/java/org/mustardstage/entry/control/RoutedCandidates.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/RoutedCandidates.java
@@ -94,6 +94,7 @@
     int now = Math.max(1, senders.getAsInt());
     if (now != limitSenders) {
       limitSenders = now;
+      router.onEntryVms(now);
       placeLimits = new PlaceLimits(nowNanos, limits, now);
     }
   }
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerNetwork.java
@@ -19,6 +19,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.VmIncarnation;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.Member;
 import org.mustardstage.entry.log.Event;
@@ -40,12 +41,16 @@
   private final LinkStats stats = new LinkStats();
   private final Map<VmId, List<PeerLink>> links = new HashMap<>();
   private final Set<PeerLink> unidentified = new HashSet<>();
-  private final Map<HostAndPort, List<PeerMessage>> dialling = new HashMap<>();
+  private final Map<HostAndPort, List<Waiting>> dialling = new HashMap<>();
+  private final Map<PeerLink, HostAndPort> dialled = new HashMap<>();
   private final Map<HostAndPort, Long> dialledNanos = new HashMap<>();
   private final SimpleServer server;
   private long nextCorrelationId = 1;
   private boolean stopped;
 
+  /** A message that waits until its receiver has introduced itself as the run that it is for. */
+  private record Waiting(VmIncarnation to, PeerMessage message) {}
+
   /** Takes in what other VMs send. */
   public interface Receiver {
     /** A VM introduced itself on a new connection. */
@@ -113,7 +118,7 @@
       link.get().send(nextCorrelationId++, message);
       return;
     }
-    dial(to.peerAddress(), Optional.of(message));
+    dial(to.peerAddress(), Optional.of(new Waiting(to.incarnation(), message)));
   }
 
   /** Connects to {@code address} so that the VM there introduces itself. */
@@ -134,8 +139,8 @@
     return first.incarnation().equals(second.incarnation());
   }
 
-  private void dial(HostAndPort address, Optional<PeerMessage> message) {
-    List<PeerMessage> waiting = dialling.get(address);
+  private void dial(HostAndPort address, Optional<Waiting> message) {
+    List<Waiting> waiting = dialling.get(address);
     if (waiting != null) {
       message.filter(m -> waiting.size() < MAX_WAITING_MESSAGES).ifPresent(waiting::add);
       return;
@@ -146,7 +151,7 @@
       return;
     }
     dialledNanos.put(address, nowNanos);
-    List<PeerMessage> first = new ArrayList<>();
+    List<Waiting> first = new ArrayList<>();
     message.ifPresent(first::add);
     dialling.put(address, first);
     TcpSocket.connect(
@@ -157,10 +162,7 @@
 
   private void onDialled(HostAndPort address, ITcpSocket socket) {
     PeerLink link = open(socket);
-    List<PeerMessage> waiting = dialling.remove(address);
-    if (waiting != null) {
-      waiting.forEach(message -> link.send(nextCorrelationId++, message));
-    }
+    dialled.put(link, address);
     if (stopped) {
       link.close();
     }
@@ -180,9 +182,23 @@
     link.identify(member);
     links.computeIfAbsent(member.vm(), key -> new ArrayList<>()).add(link);
     EventLog.log(Event.LINK_OPENED, "vm", member.incarnation());
+    sendWaiting(link, member);
     receiver.onHello(member);
   }
 
+  private void sendWaiting(PeerLink link, Member member) {
+    takeWaiting(link).stream()
+        .filter(each -> each.to().equals(member.incarnation()))
+        .forEach(each -> link.send(nextCorrelationId++, each.message()));
+  }
+
+  /** Returns what waits for the other end of a link that was dialled. */
+  private List<Waiting> takeWaiting(PeerLink link) {
+    HostAndPort address = dialled.remove(link);
+    List<Waiting> waiting = address == null ? null : dialling.remove(address);
+    return waiting == null ? List.of() : waiting;
+  }
+
   private void onIdentifiedMessage(PeerLink link, PeerMessage message) {
     Optional<Member> from = link.remote();
     if (from.isEmpty()) {
@@ -201,6 +217,7 @@
   @Override
   public void onClosed(PeerLink link) {
     unidentified.remove(link);
+    var unused = takeWaiting(link);
     link.remote().ifPresent(member -> forget(member, link));
   }
 
--- /dev/null
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerNetworkTest.java
@@ -0,0 +1,189 @@
+package org.mustardstage.entry.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.VmIncarnation;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.member.Member;
+
+@Tag("known-red")
+@Timeout(20)
+class PeerNetworkTest {
+  private static final String HOST = "127.0.0.1";
+  private static final PeerMessage MESSAGE =
+      new PeerMessage.ConfigAnnounce(new ConfigVersion(7), "root");
+
+  private final List<Vm> vms = new ArrayList<>();
+  private Vm first;
+  private Vm second;
+
+  @BeforeEach
+  void startTwoVms() throws IOException {
+    first = new Vm("first", 1);
+    second = new Vm("second", 2);
+  }
+
+  @AfterEach
+  void stopAll() {
+    vms.forEach(Vm::stop);
+  }
+
+  @Test
+  void messageReachesTheVm() throws InterruptedException {
+    first.send(second.member, MESSAGE);
+    assertThat(second.received.take(), equalTo(MESSAGE));
+  }
+
+  @Test
+  void messageForAnEarlierRunIsNotDelivered() throws InterruptedException {
+    Member earlierRun = second.memberOfRun(1);
+    first.send(earlierRun, new PeerMessage.ConfigAnnounce(new ConfigVersion(1), "lost"));
+    first.send(second.member, MESSAGE);
+    assertThat(second.received.take(), equalTo(MESSAGE));
+  }
+
+  @Test
+  void badFrameClosesItsLinkOnly() throws IOException, InterruptedException {
+    first.send(second.member, MESSAGE);
+    second.received.take();
+    try (Socket socket = connectToSecond()) {
+      socket.getOutputStream().write(ByteBuffer.allocate(8).putInt(4).putInt(-1).array());
+      awaitClose(socket);
+    }
+    first.send(second.member, MESSAGE);
+    assertThat(second.received.take(), equalTo(MESSAGE));
+  }
+
+  @Test
+  void frameAboveTheLimitClosesTheLink() throws IOException {
+    try (Socket socket = connectToSecond()) {
+      socket.getOutputStream().write(ByteBuffer.allocate(4).putInt(Integer.MAX_VALUE).array());
+      awaitClose(socket);
+    }
+    assertThat(second.received.size(), equalTo(0));
+  }
+
+  @Test
+  void messageBeforeHelloIsRefused() throws IOException {
+    byte[] content = PeerCodec.encode(1, MESSAGE);
+    try (Socket socket = connectToSecond()) {
+      ByteBuffer frame = ByteBuffer.allocate(content.length + 4).putInt(content.length);
+      socket.getOutputStream().write(frame.put(content).array());
+      awaitClose(socket);
+    }
+    assertThat(new ArrayList<>(second.received), equalTo(List.of()));
+  }
+
+  @Test
+  void manyMessagesKeepTheirOrder() throws InterruptedException {
+    List<PeerMessage> sent = new ArrayList<>();
+    for (int i = 1; i <= 100; i++) {
+      sent.add(new PeerMessage.ConfigAnnounce(new ConfigVersion(i), "root-" + i));
+    }
+    sent.forEach(message -> first.send(second.member, message));
+    List<PeerMessage> received = new ArrayList<>();
+    while (received.size() < sent.size()) {
+      received.add(second.received.take());
+    }
+    assertThat(received, contains(sent.toArray()));
+  }
+
+  private Socket connectToSecond() throws IOException {
+    return new Socket(InetAddress.getLoopbackAddress(), second.member.peerAddress().port());
+  }
+
+  private static void awaitClose(Socket socket) throws IOException {
+    socket.getInputStream().readAllBytes();
+  }
+
+  /** A VM with an event loop of its own that keeps what it receives. */
+  private final class Vm implements PeerNetwork.Receiver {
+    private final Member member;
+    private final Eventloop eventloop = Eventloop.create();
+    private final BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
+    private final PeerNetwork network;
+    private final Thread thread = new Thread(eventloop);
+
+    Vm(String name, long run) throws IOException {
+      member = newMember(name, run, freePort());
+      eventloop.keepAlive(true);
+      thread.start();
+      network =
+          eventloop
+              .submit(
+                  () ->
+                      Promise.of(new PeerNetwork(eventloop, () -> member, System::nanoTime, this)))
+              .join();
+      eventloop.submit(network::start).join();
+      vms.add(this);
+    }
+
+    Member memberOfRun(long run) {
+      return newMember(member.vm().value(), run, member.peerAddress().port());
+    }
+
+    void send(Member to, PeerMessage message) {
+      eventloop.submit(() -> network.send(to, message)).join();
+    }
+
+    void stop() {
+      eventloop.submit(() -> network.stop().toVoid()).join();
+      eventloop.keepAlive(false);
+      eventloop.execute(eventloop::breakEventloop);
+    }
+
+    @Override
+    public void onHello(Member from) {}
+
+    @Override
+    public void onMessage(Member from, PeerMessage message) {
+      received.add(message);
+    }
+
+    @Override
+    public long silentAfterNanos(Member other) {
+      return Duration.ofMinutes(1).toNanos();
+    }
+  }
+
+  private static Member newMember(String name, long run, int port) {
+    HostAndPort address = new HostAndPort(HOST, port);
+    return new Member(
+        new VmIncarnation(new VmId(name), run),
+        new ZoneId("zone"),
+        new RegionId("region"),
+        address,
+        address,
+        address,
+        /* leaving= */ false);
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+}
