Give each link a decoder of its own

Cause: the library's decoder of length-prefixed frames keeps the length that it has read; one decoder was shared by all links, so a frame that arrived in pieces on one link broke the frames of another ('Size exceeds max size'). Found by logging why a link failed in the case of PeerNetworkTest that was red. Ruled out: loading of the MessagePack classes by two threads; loading them early changed nothing and is reverted. Change: a decoder for each link; a link that fails logs why (MS0032); PeerNetworkTest is no longer red.

--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
-import org.msgpack.core.buffer.MessageBuffer;
 import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.mustardstage.core.id.ConfigVersion;
@@ -49,12 +48,7 @@
 
   private PeerCodec() {}
 
-  /**
-   * Returns the mapper. The buffers of MessagePack are loaded here, once: their classes depend on
-   * each other, and a frame was refused when two threads loaded them at the same time.
-   */
   private static ObjectMapper newMapper() {
-    MessageBuffer.wrap(new byte[Long.BYTES]);
     ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
     mapper.setAnnotationIntrospector(new JsonArrayFormat());
     return mapper;
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerLink.java
@@ -10,15 +10,17 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.mustardstage.core.member.Member;
+import org.mustardstage.entry.log.Event;
+import org.mustardstage.entry.log.EventLog;
 
 /** One connection to another entry VM. Used on the control thread only. */
 final class PeerLink {
   static final int MAX_FRAME_BYTES = 16 << 20;
   private static final int LENGTH_BYTES = Integer.BYTES;
   private static final long MAX_PENDING_BYTES = 32 << 20;
-  private static final ByteBufsDecoder<ByteBuf> DECODER =
-      ByteBufsDecoders.ofIntSizePrefixedBytes(MAX_FRAME_BYTES);
 
+  private final ByteBufsDecoder<ByteBuf> decoder =
+      ByteBufsDecoders.ofIntSizePrefixedBytes(MAX_FRAME_BYTES);
   private final ITcpSocket socket;
   private final BinaryChannelSupplier frames;
   private final Listener listener;
@@ -73,7 +75,14 @@
   }
 
   private void readNext() {
-    frames.decode(DECODER).whenResult(this::onFrame).whenException(e -> close());
+    frames.decode(decoder).whenResult(this::onFrame).whenException(this::fail);
+  }
+
+  private void fail(Exception exception) {
+    if (!closed) {
+      EventLog.log(Event.LINK_CLOSED, exception, "vm", remote.map(Member::incarnation));
+    }
+    close();
   }
 
   private void onFrame(ByteBuf buf) {
@@ -104,7 +113,7 @@
     socket
         .write(ByteBuf.wrapForReading(frame.array()))
         .whenComplete(() -> pendingBytes -= frameBytes)
-        .whenException(e -> close());
+        .whenException(this::fail);
   }
 
   void close() {
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerNetwork.java
@@ -157,7 +157,12 @@
     TcpSocket.connect(
             reactor, new InetSocketAddress(address.host(), address.port()), CONNECT_TIMEOUT, null)
         .whenResult(socket -> onDialled(address, socket))
-        .whenException(e -> dialling.remove(address));
+        .whenException(e -> onDialFailed(address, e));
+  }
+
+  private void onDialFailed(HostAndPort address, Exception exception) {
+    dialling.remove(address);
+    EventLog.log(Event.LINK_CLOSED, exception, "address", address);
   }
 
   private void onDialled(HostAndPort address, ITcpSocket socket) {
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerNetworkTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerNetworkTest.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.mustardstage.core.id.ConfigVersion;
@@ -29,7 +28,6 @@
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.Member;
 
-@Tag("known-red")
 @Timeout(20)
 class PeerNetworkTest {
   private static final String HOST = "127.0.0.1";
