--- a/core/src/main/java/org/mustardstage/core/member/Membership.java
+++ b/core/src/main/java/org/mustardstage/core/member/Membership.java
@@ -16,7 +16,6 @@
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.ZoneId;
-import org.mustardstage.core.manifest.HostAndPort;
 
 /**
  * Decides which VMs are believed alive. VMs of a zone send heartbeats to each other; the
@@ -321,11 +320,6 @@
     return listed.isEmpty() || isPoller(nowNanos) || peers.needsVmList(nowNanos);
   }
 
-  /** Returns an action that greets {@code peerAddress}, for a VM that knows nobody. */
-  public static MemberAction greet(HostAndPort peerAddress) {
-    return new MemberAction.Greet(peerAddress);
-  }
-
   private void refreshOwnDigest(long nowNanos) {
     if (nowNanos - digestCheckedNanos < settings.digestIntervalNanos()) {
       return;
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -288,7 +288,6 @@
       switch (action) {
         case MemberAction.SendMessage send ->
             network.send(send.to(), new PeerMessage.OfMembership(send.message()));
-        case MemberAction.Greet greet -> network.greet(greet.peerAddress());
         case MemberAction.ViewChanged changed -> publishMembers();
       }
     }
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -50,8 +50,6 @@
   ENDPOINT_LEAVING(50, Level.INFO),
   /** An endpoint takes work again. */
   ENDPOINT_BACK(51, Level.INFO),
-  /** An endpoint is ejected because it fails or is slow. */
-  ENDPOINT_EJECTED(52, Level.WARN),
   /** An unexpected exception was caught on the control thread. */
   CONTROL_FAULT(90, Level.ERROR);
 
