--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/gateway/GatewayConfig.java
@@ -0,0 +1,92 @@
+package org.mustardstage.core.gateway;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.id.ServiceName;
+
+/**
+ * One version of what operators declare. A look-up takes one hash probe for each segment of the
+ * path, however many rules a host has.
+ */
+public final class GatewayConfig {
+  private final ConfigVersion version;
+  private final CallerLimits limits;
+  private final ImmutableMap<ServiceName, ServiceSpec> services;
+  private final ImmutableMap<String, ImmutableMap<String, Rule>> rulesByHost;
+
+  /**
+   * Creates a version.
+   *
+   * @throws IllegalArgumentException if a host has two rules for one prefix
+   */
+  public GatewayConfig(
+      ConfigVersion version,
+      CallerLimits limits,
+      Collection<ServiceSpec> services,
+      Map<String, List<Rule>> rulesByHost) {
+    this.version = version;
+    this.limits = limits;
+    ImmutableMap.Builder<ServiceName, ServiceSpec> byName = ImmutableMap.builder();
+    services.forEach(service -> byName.put(service.name(), service));
+    this.services = byName.buildOrThrow();
+    Map<String, ImmutableMap<String, Rule>> hosts = new HashMap<>();
+    rulesByHost.forEach((host, rules) -> hosts.put(normalize(host), byPrefix(rules)));
+    this.rulesByHost = ImmutableMap.copyOf(hosts);
+  }
+
+  private static ImmutableMap<String, Rule> byPrefix(List<Rule> rules) {
+    ImmutableMap.Builder<String, Rule> byPrefix = ImmutableMap.builder();
+    rules.forEach(rule -> byPrefix.put(rule.prefix(), rule));
+    return byPrefix.buildOrThrow();
+  }
+
+  /** Returns the version. */
+  public ConfigVersion version() {
+    return version;
+  }
+
+  /** Returns what callers may send. */
+  public CallerLimits limits() {
+    return limits;
+  }
+
+  /** Returns the declared services. */
+  public ImmutableMap<ServiceName, ServiceSpec> services() {
+    return services;
+  }
+
+  /** Returns whether any rule is declared for {@code host}. */
+  public boolean hasHost(String host) {
+    return rulesByHost.containsKey(normalize(host));
+  }
+
+  /** Returns the rule of {@code host} with the longest prefix of {@code path}. */
+  public Optional<Rule> find(String host, String path) {
+    ImmutableMap<String, Rule> rules = rulesByHost.get(normalize(host));
+    if (rules == null) {
+      return Optional.empty();
+    }
+    for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      Rule rule = rules.get(path.substring(0, end + 1));
+      if (rule != null) {
+        return Optional.of(rule);
+      }
+      if (end == 0) {
+        break;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static String normalize(String host) {
+    int colon = host.lastIndexOf(':');
+    boolean hasPort = colon > 0 && host.indexOf(']', colon) < 0;
+    return (hasPort ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+  }
+}
--- a/core/src/main/java/org/mustardstage/core/member/Representatives.java
+++ b/core/src/main/java/org/mustardstage/core/member/Representatives.java
@@ -10,11 +10,11 @@
  * Chooses the VM that speaks for a zone or a region: the one with the smallest hash among those
  * believed alive. Two VMs may each believe to be it for a while, which costs messages only.
  */
-final class Representatives {
+public final class Representatives {
   private Representatives() {}
 
   /** Returns the representative of {@code group} among {@code candidates}. */
-  static Optional<Member> choose(String group, Collection<Member> candidates) {
+  public static Optional<Member> choose(String group, Collection<Member> candidates) {
     return candidates.stream()
         .min(
             Comparator.<Member>comparingInt(member -> member.leaving() ? 1 : 0)
@@ -23,7 +23,7 @@
   }
 
   /** Returns whether {@code member} is among the {@code count} first of {@code candidates}. */
-  static boolean isAmongFirst(
+  public static boolean isAmongFirst(
       int count, String group, Member member, Collection<Member> candidates) {
     long ownRank = rank(group, member);
     long before =
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/placement/Ask.java
@@ -0,0 +1,37 @@
+package org.mustardstage.core.placement;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import java.util.Set;
+import org.mustardstage.core.gateway.Rule;
+import org.mustardstage.core.id.EndpointId;
+
+/**
+ * A request that needs an endpoint.
+ *
+ * @param id tells the asks of one scheduler apart
+ * @param rule the rule that it came under
+ * @param object what it is about, if requests for the same object run faster together
+ * @param arrivedNanos when the request arrived
+ * @param aimNanos until when an answer is in time
+ * @param deadlineNanos until when an answer is of any use
+ * @param tried the endpoints that it was sent to before
+ */
+public record Ask(
+    long id,
+    Rule rule,
+    Optional<String> object,
+    long arrivedNanos,
+    long aimNanos,
+    long deadlineNanos,
+    Set<EndpointId> tried) {
+  /** Copies the set. */
+  public Ask {
+    tried = ImmutableSet.copyOf(tried);
+  }
+
+  /** Returns whether the request was sent to an endpoint before. */
+  public boolean isRepeat() {
+    return !tried.isEmpty();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointUse.java
@@ -0,0 +1,133 @@
+package org.mustardstage.core.placement;
+
+import java.util.Optional;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+
+/** What a scheduler knows of one endpoint: its load, its speed, what it holds warm, its trust. */
+final class EndpointUse {
+  /** The weight of one load report in the estimate of what others have running there. */
+  private static final double REPORT_WEIGHT = 0.4;
+
+  /** Reports are about the near past; an estimate without a new report halves in this time. */
+  private static final double REPORT_HALF_LIFE_NANOS = 400e6;
+
+  /** The weight of one answer in the estimate of the speed. */
+  private static final double SPEED_WEIGHT = 0.15;
+
+  private static final double SLOWEST = 20;
+
+  private final EndpointTrust trust = new EndpointTrust();
+  private final WarmObjects warm = new WarmObjects();
+  private RegisteredEndpoint endpoint;
+  private int slots;
+  private int running;
+  private double othersRunning;
+  private long reportedNanos;
+  private double slowness = 1;
+  private long coldUntilNanos;
+  private Optional<ColdAllowance> coldAllowance = Optional.empty();
+
+  EndpointUse(RegisteredEndpoint endpoint) {
+    this.endpoint = endpoint;
+    this.slots = endpoint.slots();
+  }
+
+  RegisteredEndpoint endpoint() {
+    return endpoint;
+  }
+
+  EndpointTrust trust() {
+    return trust;
+  }
+
+  WarmObjects warm() {
+    return warm;
+  }
+
+  int slots() {
+    return slots;
+  }
+
+  int running() {
+    return running;
+  }
+
+  double slowness() {
+    return slowness;
+  }
+
+  /** Takes over a newer entry of the register; another run holds nothing of before. */
+  void update(RegisteredEndpoint newer) {
+    if (!newer.isSameRunAs(endpoint)) {
+      warm.clear();
+      slowness = 1;
+    }
+    slots = newer.slots();
+    endpoint = newer;
+  }
+
+  /** Holds requests back until the endpoint is warmed up. */
+  void becomeCold(long nowNanos, long untilNanos, double perSecond) {
+    if (untilNanos - coldUntilNanos <= 0 && isCold(nowNanos)) {
+      return;
+    }
+    if (coldAllowance.isEmpty() || !isCold(nowNanos)) {
+      coldAllowance = Optional.of(new ColdAllowance(nowNanos, perSecond));
+      warm.clear();
+    }
+    coldUntilNanos = untilNanos;
+  }
+
+  boolean isCold(long nowNanos) {
+    return coldAllowance.isPresent() && nowNanos - coldUntilNanos < 0;
+  }
+
+  /** Returns whether the endpoint, if it is cold, can take one more request now. */
+  boolean coldAllows(long nowNanos) {
+    return !isCold(nowNanos) || coldAllowance.orElseThrow().allows(nowNanos);
+  }
+
+  /** Returns the slots that are believed free; negative when requests wait there. */
+  double freeSlots(long nowNanos) {
+    return slots - running - othersRunning(nowNanos);
+  }
+
+  private double othersRunning(long nowNanos) {
+    double age = nowNanos - reportedNanos;
+    return othersRunning * Math.exp(-Math.log(2) * age / REPORT_HALF_LIFE_NANOS);
+  }
+
+  /** Returns the share of the slots that is believed taken. */
+  double usedShare(long nowNanos) {
+    return 1 - freeSlots(nowNanos) / slots;
+  }
+
+  void onSent(long nowNanos) {
+    running++;
+    trust.onSent();
+    if (isCold(nowNanos)) {
+      coldAllowance.orElseThrow().take(nowNanos);
+    }
+  }
+
+  void onEnd() {
+    running = Math.max(0, running - 1);
+  }
+
+  void observeReport(long nowNanos, UseEnd.LoadReport report) {
+    if (report.slots() > 0) {
+      slots = report.slots();
+    }
+    double others = Math.max(0, report.running() + report.waiting() - running - 1);
+    othersRunning = othersRunning(nowNanos) * (1 - REPORT_WEIGHT) + REPORT_WEIGHT * others;
+    reportedNanos = nowNanos;
+  }
+
+  void observeSpeed(double actualNanos, double expectedNanos) {
+    if (expectedNanos <= 0) {
+      return;
+    }
+    double ratio = Math.min(SLOWEST, actualNanos / (expectedNanos / slowness));
+    slowness = Math.max(1, slowness + SPEED_WEIGHT * (ratio - slowness));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -0,0 +1,366 @@
+package org.mustardstage.core.placement;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.gateway.ServiceSpec;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.route.Proximity;
+
+/**
+ * Places the requests of one service on its endpoints.
+ *
+ * <p>Answers the load in which demand swings above the slots, region by region, and in which an
+ * endpoint that lately handled an object needs much less time for it. Each request goes where its
+ * answer is expected first, counting the wait for a slot, the way, the work and what the endpoint
+ * holds warm. Objects have a fixed order of endpoints, so that each endpoint sees few of them. When
+ * all slots are taken, requests wait here, the urgent ones first, and no longer than leaves time to
+ * answer within the objective; the others are turned away at once.
+ */
+public final class ServiceScheduler {
+  /** How much longer than expected the work of most requests takes. */
+  private static final double WORK_MARGIN = 1.1;
+
+  /** What each place in an object's order of endpoints costs, as a share of the work. */
+  private static final double ORDER_COST = 0.04;
+
+  /** What an answer after the objective costs, as a share of the objective. */
+  private static final double LATE_COST = 0.5;
+
+  /** Requests that wait are looked at in order; those far behind get no slot in this round. */
+  private static final int MAX_LOOKED_AT = 64;
+
+  private static final long MIN_RETRY_AFTER_MILLIS = 80;
+  private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /** Callers that are turned away together come back spread around the time worked out. */
+  private static final double SPREAD_FROM = 0.75;
+
+  private static final Comparator<Ask> URGENT_FIRST =
+      Comparator.<Ask>comparingInt(ask -> ask.rule().rank())
+          .thenComparingLong(Ask::aimNanos)
+          .thenComparingLong(Ask::id);
+
+  private final RoundTrips roundTrips;
+  private final WorkTimes workTimes = new WorkTimes();
+  private final Map<EndpointId, EndpointUse> endpoints = new HashMap<>();
+  private final NavigableSet<Ask> waiting = new TreeSet<>(URGENT_FIRST);
+  private final Map<String, int[]> orders = new HashMap<>();
+  private PlacementSettings settings;
+  private ServiceSpec spec;
+  private ImmutableList<EndpointUse> usable = ImmutableList.of();
+  private Predicate<RegisteredEndpoint> coldInCharge = endpoint -> true;
+  private double meanWorkNanos;
+
+  /** Creates a scheduler without endpoints. */
+  public ServiceScheduler(ServiceSpec spec, PlacementSettings settings, RoundTrips roundTrips) {
+    this.spec = spec;
+    this.settings = settings;
+    this.roundTrips = roundTrips;
+  }
+
+  /** Takes over new settings. */
+  public void onSettings(PlacementSettings newSettings) {
+    settings = newSettings;
+  }
+
+  /** Takes over what operators declare. */
+  public void onSpec(ServiceSpec newSpec) {
+    spec = newSpec;
+  }
+
+  /** Sets which cold endpoints this scheduler, and no other, sends requests to. */
+  public void setColdInCharge(Predicate<RegisteredEndpoint> inCharge) {
+    coldInCharge = inCharge;
+  }
+
+  /** Takes over the endpoints that may be sent new work. */
+  public void onEndpoints(long nowNanos, Collection<UsableEndpoint> newEndpoints) {
+    Map<EndpointId, EndpointUse> kept = new HashMap<>();
+    for (UsableEndpoint each : newEndpoints) {
+      RegisteredEndpoint endpoint = each.endpoint();
+      EndpointUse use = endpoints.get(endpoint.id());
+      if (use == null) {
+        use = new EndpointUse(endpoint);
+      } else {
+        use.update(endpoint);
+      }
+      if (each.coldUntilNanos() - nowNanos > 0) {
+        use.becomeCold(nowNanos, each.coldUntilNanos(), spec.coldPerSecond());
+      }
+      kept.put(endpoint.id(), use);
+    }
+    boolean same = kept.keySet().equals(endpoints.keySet());
+    endpoints.clear();
+    endpoints.putAll(kept);
+    usable = ImmutableList.sortedCopyOf(BY_ID, kept.values());
+    if (!same) {
+      orders.clear();
+    }
+  }
+
+  private static final Comparator<EndpointUse> BY_ID =
+      Comparator.comparing(use -> use.endpoint().id());
+
+  /** Decides about a new ask: at once, or later when it has to wait for a slot. */
+  public Optional<Decision> offer(long nowNanos, Ask ask) {
+    if (usable.isEmpty()) {
+      return Optional.of(turnAway(nowNanos, ask, TurnAwayReason.NO_ENDPOINT));
+    }
+    Choice choice = choose(nowNanos, ask);
+    if (choice.now().isPresent()) {
+      return Optional.of(place(nowNanos, ask, choice.now().get()));
+    }
+    if (choice.best().isEmpty()) {
+      return Optional.of(turnAway(nowNanos, ask, TurnAwayReason.NO_ENDPOINT));
+    }
+    if (!canWait(nowNanos, ask, choice.best().get())) {
+      return Optional.of(turnAway(nowNanos, ask, TurnAwayReason.NO_SLOT_IN_TIME));
+    }
+    waiting.add(ask);
+    return Optional.empty();
+  }
+
+  private boolean canWait(long nowNanos, Ask ask, Candidate best) {
+    int ahead = waiting.headSet(ask).size();
+    double turnNanos = (ahead + 1) * settings.sharers() * meanWorkNanos / Math.max(1, slots(ask));
+    double startNanos = nowNanos + Math.max(turnNanos, best.waitNanos());
+    return startNanos + best.serviceNanos() <= ask.aimNanos();
+  }
+
+  private int slots(Ask ask) {
+    int slots = 0;
+    for (EndpointUse use : usable) {
+      if (isNear(use) && ask.rule().allowsRegion(roundTrips.regionOf(use.endpoint().zone()))) {
+        slots += use.slots();
+      }
+    }
+    return slots;
+  }
+
+  private boolean isNear(EndpointUse use) {
+    return roundTrips.proximityOf(use.endpoint().zone()) != Proximity.OTHER_REGION;
+  }
+
+  /** Takes an ask back: its caller has left. Returns whether it waited. */
+  public boolean withdraw(Ask ask) {
+    return waiting.remove(ask);
+  }
+
+  /** Ends the use of an endpoint by a request that was placed. */
+  public void release(long nowNanos, Decision.Placed placed, UseEnd end) {
+    EndpointUse use = endpoints.get(placed.endpoint().id());
+    end.connectNanos().ifPresent(nanos -> roundTrips.observe(placed.endpoint().zone(), nanos));
+    if (use == null || !use.endpoint().isSameRunAs(placed.endpoint())) {
+      return;
+    }
+    use.onEnd();
+    end.report().ifPresent(report -> use.observeReport(nowNanos, report));
+    if (end.result() == UseEnd.Result.ANSWERED) {
+      learn(nowNanos, placed, use, end);
+    } else if (end.result() == UseEnd.Result.SILENT) {
+      use.observeSpeed((double) end.elapsedNanos(), (double) placed.expectedNanos());
+    }
+    if (use.trust().onEnd(nowNanos, end.result())) {
+      use.becomeCold(
+          nowNanos, nowNanos + (long) (spec.coldMillis() * NANOS_PER_MILLI), spec.coldPerSecond());
+    }
+  }
+
+  private void learn(long nowNanos, Decision.Placed placed, EndpointUse use, UseEnd end) {
+    long wayNanos = roundTrips.nanosTo(use.endpoint().zone());
+    long workNanos = Math.max(1, end.elapsedNanos() - wayNanos);
+    Ask ask = placed.ask();
+    if (!use.isCold(nowNanos)) {
+      workTimes.observe(ask.rule(), placed.warm(), (long) (workNanos / use.slowness()));
+      meanWorkNanos =
+          meanWorkNanos == 0 ? workNanos : meanWorkNanos + 0.05 * (workNanos - meanWorkNanos);
+    }
+    use.observeSpeed(
+        (double) workNanos, workTimes.expectedNanos(ask.rule(), placed.warm()) * use.slowness());
+    ask.object().ifPresent(object -> use.warm().handled(nowNanos, object));
+  }
+
+  /** Places what waits on slots that have become free, and turns away what waited too long. */
+  public List<Decision> onTick(long nowNanos) {
+    List<Decision> decisions = new ArrayList<>();
+    int looked = 0;
+    for (Iterator<Ask> asks = waiting.iterator(); asks.hasNext() && looked < MAX_LOOKED_AT; ) {
+      Ask ask = asks.next();
+      looked++;
+      Optional<Decision> decision = decideAgain(nowNanos, ask);
+      if (decision.isPresent()) {
+        asks.remove();
+        decisions.add(decision.get());
+      }
+    }
+    return decisions;
+  }
+
+  private Optional<Decision> decideAgain(long nowNanos, Ask ask) {
+    Choice choice = choose(nowNanos, ask);
+    if (choice.now().isPresent()) {
+      return Optional.of(place(nowNanos, ask, choice.now().get()));
+    }
+    if (choice.best().isEmpty()) {
+      return Optional.of(turnAway(nowNanos, ask, TurnAwayReason.NO_ENDPOINT));
+    }
+    if (nowNanos + choice.best().get().serviceNanos() > ask.aimNanos()) {
+      return choice
+          .free()
+          .map(free -> Optional.of(place(nowNanos, ask, free)))
+          .orElseGet(() -> Optional.of(turnAway(nowNanos, ask, TurnAwayReason.NO_SLOT_IN_TIME)));
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the number of requests that wait. */
+  public int waitingCount() {
+    return waiting.size();
+  }
+
+  private Decision place(long nowNanos, Ask ask, Candidate candidate) {
+    EndpointUse use = candidate.use();
+    use.onSent(nowNanos);
+    if (ask.object().isPresent()) {
+      use.warm().handled(nowNanos, ask.object().get());
+    }
+    return new Decision.Placed(
+        ask, use.endpoint(), candidate.warm(), (long) candidate.serviceNanos());
+  }
+
+  private Decision turnAway(long nowNanos, Ask ask, TurnAwayReason reason) {
+    return new Decision.TurnedAway(ask, reason, retryAfterMillis(nowNanos, ask));
+  }
+
+  /** Returns when a caller that is turned away should come back: when the queue has moved on. */
+  public long retryAfterMillis(long nowNanos, Ask ask) {
+    double turnNanos =
+        (waiting.size() + 1) * settings.sharers() * meanWorkNanos / Math.max(1, slots(ask));
+    double spread = SPREAD_FROM + jitter(ask);
+    double millis = (meanWorkNanos / 2 + turnNanos) * spread / NANOS_PER_MILLI;
+    return (long) Math.clamp(millis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
+  }
+
+  /** Returns a number from 0 to 0.5 that differs from ask to ask. */
+  private static double jitter(Ask ask) {
+    double mixed = (double) ((ask.id() * 0x9E3779B97F4A7C15L) >>> 40);
+    return mixed / (1 << 25);
+  }
+
+  /** An endpoint that may serve an ask. */
+  private record Candidate(
+      EndpointUse use, boolean warm, double waitNanos, double serviceNanos, double cost) {}
+
+  /**
+   * The endpoints in question.
+   *
+   * @param now the best one, when it has a free slot
+   * @param best the best one
+   * @param free the best one of those that have a free slot
+   */
+  private record Choice(
+      Optional<Candidate> now, Optional<Candidate> best, Optional<Candidate> free) {}
+
+  private Choice choose(long nowNanos, Ask ask) {
+    Candidate best = null;
+    Candidate free = null;
+    int[] order = ask.object().map(this::orderOf).orElse(null);
+    for (int i = 0; i < usable.size(); i++) {
+      EndpointUse use = usable.get(i);
+      if (!mayServe(nowNanos, ask, use)) {
+        continue;
+      }
+      Candidate candidate = candidate(nowNanos, ask, use, order == null ? 0 : order[i]);
+      if (best == null || candidate.cost() < best.cost()) {
+        best = candidate;
+      }
+      if (candidate.waitNanos() == 0 && (free == null || candidate.cost() < free.cost())) {
+        free = candidate;
+      }
+    }
+    boolean now = best != null && best.waitNanos() == 0;
+    return new Choice(
+        now ? Optional.of(best) : Optional.empty(),
+        Optional.ofNullable(best),
+        Optional.ofNullable(free));
+  }
+
+  private boolean mayServe(long nowNanos, Ask ask, EndpointUse use) {
+    if (ask.tried().contains(use.endpoint().id()) || !use.trust().allows(nowNanos)) {
+      return false;
+    }
+    if (!ask.rule().allowsRegion(roundTrips.regionOf(use.endpoint().zone()))) {
+      return false;
+    }
+    return !use.isCold(nowNanos) || (coldInCharge.test(use.endpoint()) && use.coldAllows(nowNanos));
+  }
+
+  private Candidate candidate(long nowNanos, Ask ask, EndpointUse use, int place) {
+    boolean warm = ask.object().map(object -> use.warm().holds(nowNanos, object)).orElse(true);
+    double workNanos = workTimes.expectedNanos(ask.rule(), warm) * use.slowness();
+    long wayNanos = roundTrips.nanosTo(use.endpoint().zone());
+    double free = use.freeSlots(nowNanos) + settings.queueShare() * use.slots();
+    double waitNanos =
+        free >= 1 ? 0 : (1 - free) * Math.max(workNanos, meanWorkNanos) / use.slots();
+    double serviceNanos = wayNanos + workNanos * WORK_MARGIN;
+    double finishNanos = nowNanos + waitNanos + serviceNanos;
+    double aimLengthNanos = ask.rule().aimMillis() * NANOS_PER_MILLI;
+    double cost =
+        waitNanos
+            + wayNanos
+            + workNanos
+            + distanceCost(use)
+            + place * ORDER_COST * workNanos
+            + use.trust().badShare() * aimLengthNanos
+            + (finishNanos > ask.aimNanos() ? LATE_COST * aimLengthNanos : 0);
+    return new Candidate(use, warm, waitNanos, serviceNanos, cost);
+  }
+
+  private double distanceCost(EndpointUse use) {
+    return switch (roundTrips.proximityOf(use.endpoint().zone())) {
+      case OWN_ZONE -> 0;
+      case OWN_REGION -> settings.otherZoneNanos();
+      case OTHER_REGION -> settings.otherRegionNanos();
+    };
+  }
+
+  /** Returns the place of each usable endpoint in the order of {@code object}, from 0. */
+  private int[] orderOf(String object) {
+    return orders.computeIfAbsent(object, this::computeOrder);
+  }
+
+  private int[] computeOrder(String object) {
+    int count = usable.size();
+    List<Integer> byHash = new ArrayList<>(count);
+    long[] hashes = new long[count];
+    for (int i = 0; i < count; i++) {
+      byHash.add(i);
+      hashes[i] =
+          Hashing.murmur3_128()
+              .hashString(object + "/" + usable.get(i).endpoint().id(), StandardCharsets.UTF_8)
+              .asLong();
+    }
+    byHash.sort(Comparator.comparingLong(i -> hashes[i]));
+    int[] places = new int[count];
+    Map<Proximity, Integer> next = new HashMap<>();
+    for (int i : byHash) {
+      Proximity proximity = roundTrips.proximityOf(usable.get(i).endpoint().zone());
+      places[i] = next.merge(proximity, 1, Integer::sum) - 1;
+    }
+    return places;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CallerExchange.java
@@ -0,0 +1,366 @@
+package org.mustardstage.entry.gateway;
+
+import io.activej.http.HttpMethod;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.placement.Decision;
+import org.mustardstage.core.placement.UseEnd;
+import org.mustardstage.core.placement.UseEnd.LoadReport;
+import org.mustardstage.core.placement.UseEnd.Result;
+
+/**
+ * Carries one request of a caller: has it placed, sends it, and sends it again as far as its kind
+ * and its rule allow. It ends with the answer of an endpoint, or with a failure that says truly
+ * whether the request may have run.
+ */
+final class CallerExchange {
+  /** An answer that leaves this much less than the deadline at the endpoint still arrives here. */
+  private static final long DEADLINE_MARGIN_MILLIS = 2;
+
+  /** A connection that takes longer than this has met an endpoint that is gone. */
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+
+  /** An idempotent request is sent elsewhere when its answer takes this much longer than usual. */
+  private static final double SILENT_AFTER_EXPECTED = 3;
+
+  private static final long SILENT_AFTER_AT_LEAST_MILLIS = 500;
+
+  /** A request that must not run twice goes over a link that has answered this lately, or a new. */
+  private static final long FRESH_LINK_MILLIS = 3_000;
+
+  private static final int MAX_LINKS_TO_ENDPOINT = 64;
+  private static final int MAX_UNREACHABLE = 4;
+  private static final int MISDIRECTED = 421;
+  private static final int SERVER_ERRORS_FROM = 500;
+
+  private final NioReactor reactor;
+  private final Placer placer;
+  private final EndpointLinks links;
+  private final Dialect dialect;
+  private final CallerRequest request;
+  private final SettablePromise<ExchangeEnd> end = new SettablePromise<>();
+  private final Set<EndpointId> tried = new HashSet<>();
+  private final List<String> trace = new ArrayList<>();
+  private Optional<Placer.Ticket> ticket = Optional.empty();
+  private Optional<Try> running = Optional.empty();
+  private Optional<ScheduledRunnable> timeout = Optional.empty();
+  private int sent;
+  private int unreachable;
+  private boolean mayHaveRun;
+
+  /** One send to one endpoint. */
+  private final class Try {
+    private final Decision.Placed placed;
+    private final EndpointLink link;
+    private final long startedNanos = System.nanoTime();
+    private Optional<ScheduledRunnable> silence = Optional.empty();
+
+    Try(Decision.Placed placed, EndpointLink link) {
+      this.placed = placed;
+      this.link = link;
+    }
+
+    void finish(Result result, Optional<LoadReport> report) {
+      silence.ifPresent(ScheduledRunnable::cancel);
+      long elapsedNanos = System.nanoTime() - startedNanos;
+      Optional<Long> connectNanos =
+          link.connectNanos().isPresent()
+              ? Optional.of(link.connectNanos().getAsLong())
+              : Optional.empty();
+      trace.add(placed.endpoint().id() + ":" + result + ":" + elapsedNanos / 1_000_000);
+      placer.release(
+          request.service(), placed, new UseEnd(result, elapsedNanos, connectNanos, report));
+    }
+  }
+
+  CallerExchange(
+      NioReactor reactor,
+      Placer placer,
+      EndpointLinks links,
+      Dialect dialect,
+      CallerRequest request) {
+    this.reactor = reactor;
+    this.placer = placer;
+    this.links = links;
+    this.dialect = dialect;
+    this.request = request;
+  }
+
+  /** Begins; the promise never fails. */
+  Promise<ExchangeEnd> start() {
+    long leftMillis = leftMillis();
+    timeout = Optional.of(reactor.delay(Math.max(1, leftMillis), this::onTimeout));
+    askForEndpoint();
+    return end;
+  }
+
+  /** Returns what happened at which endpoint, for the log. */
+  List<String> trace() {
+    return trace;
+  }
+
+  private long leftMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - System.nanoTime());
+  }
+
+  private void askForEndpoint() {
+    long aimNanos =
+        request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(request.rule().aimMillis());
+    ticket =
+        Optional.of(
+            placer.place(
+                new PlaceRequest(
+                    request.service(),
+                    request.rule(),
+                    request.object(),
+                    request.arrivedNanos(),
+                    aimNanos,
+                    request.deadlineNanos(),
+                    tried),
+                decision -> reactor.execute(() -> onDecision(decision))));
+  }
+
+  private void onDecision(Decision decision) {
+    ticket = Optional.empty();
+    switch (decision) {
+      case Decision.Placed placed -> {
+        if (end.isComplete()) {
+          placer.release(
+              request.service(),
+              placed,
+              new UseEnd(Result.ABANDONED, 0, Optional.empty(), Optional.empty()));
+          return;
+        }
+        send(placed);
+      }
+      case Decision.TurnedAway away -> {
+        trace.add(away.reason().toString());
+        finish(
+            mayHaveRun
+                ? new ExchangeEnd.Unknown(ExchangeEnd.Unknown.Cause.ENDPOINT_FAILED)
+                : new ExchangeEnd.NotRun(away.reason().toString(), away.retryAfterMillis()));
+      }
+    }
+  }
+
+  private void send(Decision.Placed placed) {
+    RegisteredEndpoint endpoint = placed.endpoint();
+    long leftMillis = leftMillis() - DEADLINE_MARGIN_MILLIS;
+    byte[] bytes = RequestBytes.of(request, endpoint, dialect, Math.max(1, leftMillis));
+    boolean withoutBody = request.method() == HttpMethod.HEAD;
+    long withinMillis = request.rule().idempotent() ? Long.MAX_VALUE : FRESH_LINK_MILLIS;
+    Optional<EndpointLink> idle =
+        links.takeIdle(endpoint.address(), System.nanoTime(), withinMillis);
+    EndpointLink link;
+    Promise<Either<LinkFailure, EndpointReply>> reply;
+    tried.add(endpoint.id());
+    if (idle.isPresent()) {
+      link = idle.get();
+      reply = link.send(request.id(), withoutBody, bytes);
+    } else {
+      Optional<EndpointLink> created = links.create(endpoint.address(), MAX_LINKS_TO_ENDPOINT);
+      if (created.isEmpty()) {
+        placer.release(
+            request.service(),
+            placed,
+            new UseEnd(Result.ABANDONED, 0, Optional.empty(), Optional.empty()));
+        finish(new ExchangeEnd.NotRun("NO_LINK", SILENT_AFTER_AT_LEAST_MILLIS));
+        return;
+      }
+      link = created.get();
+      Duration connectTimeout =
+          Duration.ofMillis(Math.min(CONNECT_TIMEOUT.toMillis(), Math.max(1, leftMillis)));
+      reply = link.connectAndSend(connectTimeout, request.id(), withoutBody, bytes);
+    }
+    sent++;
+    Try current = new Try(placed, link);
+    running = Optional.of(current);
+    watchSilence(current);
+    reply.whenResult(outcome -> onOutcome(current, outcome));
+  }
+
+  private void watchSilence(Try current) {
+    if (!request.rule().idempotent() || sent >= request.rule().maxAttempts()) {
+      return;
+    }
+    long expectedMillis = TimeUnit.NANOSECONDS.toMillis(current.placed.expectedNanos());
+    long silentMillis =
+        Math.max(SILENT_AFTER_AT_LEAST_MILLIS, (long) (SILENT_AFTER_EXPECTED * expectedMillis));
+    if (silentMillis + expectedMillis < leftMillis()) {
+      current.silence = Optional.of(reactor.delay(silentMillis, () -> onSilent(current)));
+    }
+  }
+
+  private void onSilent(Try current) {
+    if (running.filter(current::equals).isEmpty()) {
+      return;
+    }
+    running = Optional.empty();
+    mayHaveRun = true;
+    current.link.close();
+    links.closeIdle(current.placed.endpoint().address());
+    current.finish(Result.SILENT, Optional.empty());
+    askForEndpoint();
+  }
+
+  private void onOutcome(Try current, Either<LinkFailure, EndpointReply> outcome) {
+    if (running.filter(current::equals).isEmpty()) {
+      return;
+    }
+    running = Optional.empty();
+    if (outcome.isRight()) {
+      onReply(current, outcome.get());
+      return;
+    }
+    switch (outcome.getLeft()) {
+      case NOT_CONNECTED -> {
+        current.finish(Result.UNREACHABLE, Optional.empty());
+        sent--;
+        unreachable++;
+        if (unreachable >= MAX_UNREACHABLE) {
+          finish(notRunOrUnknown("ENDPOINTS_UNREACHABLE"));
+          return;
+        }
+        askForEndpoint();
+      }
+      case BROKEN, MALFORMED -> {
+        current.finish(Result.SPOILED, Optional.empty());
+        mayHaveRun = true;
+        trySendAgain(ExchangeEnd.Unknown.Cause.ANSWER_LOST);
+      }
+    }
+  }
+
+  private void onReply(Try current, EndpointReply reply) {
+    Optional<LoadReport> report = readLoad(reply);
+    if (reply.headers().has(dialect.notExecuted()) || reply.status() == MISDIRECTED) {
+      boolean misdirected = reply.status() == MISDIRECTED;
+      giveBack(current);
+      current.finish(misdirected ? Result.MISDIRECTED : Result.REFUSED, report);
+      onRefused();
+      return;
+    }
+    if (!isWhole(reply)) {
+      current.link.close();
+      current.finish(Result.SPOILED, report);
+      mayHaveRun = true;
+      trySendAgain(ExchangeEnd.Unknown.Cause.ANSWER_SPOILED);
+      return;
+    }
+    giveBack(current);
+    boolean failed = reply.status() >= SERVER_ERRORS_FROM;
+    current.finish(failed ? Result.FAILED : Result.ANSWERED, report);
+    if (failed && request.rule().idempotent() && maySendAgain()) {
+      mayHaveRun = true;
+      askForEndpoint();
+      return;
+    }
+    finish(new ExchangeEnd.Answered(reply, current.placed.endpoint().id()));
+  }
+
+  private void giveBack(Try current) {
+    if (!current.link.isClosed()) {
+      links.giveBack(current.placed.endpoint().address(), current.link);
+    }
+  }
+
+  /** Returns whether the answer is the endpoint's own and untouched. */
+  private boolean isWhole(EndpointReply reply) {
+    if (reply.headers().has("Content-Encoding")) {
+      return false;
+    }
+    return !reply.isSuccess()
+        || (reply.headers().has(dialect.endpointSeal())
+            && reply.headers().find(dialect.requestId()).filter(request.id()::equals).isPresent());
+  }
+
+  private Optional<LoadReport> readLoad(EndpointReply reply) {
+    return reply.headers().find(dialect.load()).flatMap(CallerExchange::parseLoad);
+  }
+
+  static Optional<LoadReport> parseLoad(String text) {
+    String[] parts = text.split(",", -1);
+    if (parts.length != 3) {
+      return Optional.empty();
+    }
+    Integer runningCount = com.google.common.primitives.Ints.tryParse(parts[0].trim());
+    Integer waitingCount = com.google.common.primitives.Ints.tryParse(parts[1].trim());
+    Integer slots = com.google.common.primitives.Ints.tryParse(parts[2].trim());
+    if (runningCount == null || waitingCount == null || slots == null) {
+      return Optional.empty();
+    }
+    return Optional.of(new LoadReport(runningCount, waitingCount, slots));
+  }
+
+  private boolean maySendAgain() {
+    return sent < request.rule().maxAttempts() && leftMillis() > DEADLINE_MARGIN_MILLIS;
+  }
+
+  private void onRefused() {
+    if (maySendAgain()) {
+      askForEndpoint();
+      return;
+    }
+    finish(notRunOrUnknown("REFUSED_BY_ENDPOINT"));
+  }
+
+  private ExchangeEnd notRunOrUnknown(String reason) {
+    return mayHaveRun
+        ? new ExchangeEnd.Unknown(ExchangeEnd.Unknown.Cause.ENDPOINT_FAILED)
+        : new ExchangeEnd.NotRun(reason, request.rule().aimMillis() / 2);
+  }
+
+  private void trySendAgain(ExchangeEnd.Unknown.Cause cause) {
+    if (request.rule().idempotent() && maySendAgain()) {
+      askForEndpoint();
+      return;
+    }
+    finish(new ExchangeEnd.Unknown(cause));
+  }
+
+  private void onTimeout() {
+    boolean inFlight = running.isPresent();
+    stopWork(Result.ABANDONED);
+    finish(
+        inFlight || mayHaveRun
+            ? new ExchangeEnd.Unknown(ExchangeEnd.Unknown.Cause.TIMEOUT)
+            : new ExchangeEnd.NotRun("DEADLINE", request.rule().aimMillis()));
+  }
+
+  /** The caller has left: what still waits or runs for it ends. */
+  void onCallerLeft() {
+    if (end.isComplete()) {
+      return;
+    }
+    stopWork(Result.ABANDONED);
+    finish(new ExchangeEnd.CallerLeft());
+  }
+
+  private void stopWork(Result result) {
+    ticket.ifPresent(Placer.Ticket::withdraw);
+    ticket = Optional.empty();
+    running.ifPresent(
+        current -> {
+          current.link.close();
+          current.finish(result, Optional.empty());
+        });
+    running = Optional.empty();
+  }
+
+  private void finish(ExchangeEnd result) {
+    timeout.ifPresent(ScheduledRunnable::cancel);
+    end.trySet(result);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -0,0 +1,215 @@
+package org.mustardstage.entry.gateway;
+
+import com.google.common.collect.ImmutableList;
+import io.activej.eventloop.Eventloop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.mustardstage.core.gateway.GatewayConfig;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.member.Member;
+import org.mustardstage.core.member.MemberStatus;
+import org.mustardstage.core.member.MemberView;
+import org.mustardstage.core.member.Representatives;
+import org.mustardstage.core.overload.RetryBudget;
+import org.mustardstage.core.placement.Ask;
+import org.mustardstage.core.placement.Decision;
+import org.mustardstage.core.placement.EndpointRegister;
+import org.mustardstage.core.placement.PlacementSettings;
+import org.mustardstage.core.placement.RoundTrips;
+import org.mustardstage.core.placement.ServiceScheduler;
+import org.mustardstage.core.placement.TurnAwayReason;
+import org.mustardstage.core.placement.UseEnd;
+
+/** The schedulers of all services at one VM. Used on the control thread only. */
+final class Dispatcher {
+  /** How often requests that wait are looked at when no slot is given back. */
+  private static final long TICK_MILLIS = 5;
+
+  /** The part of the repeats that the operators allow which is used; the rest is a margin. */
+  private static final double USED_REPEAT_SHARE = 0.5;
+
+  private final GatewaySettings settings;
+  private final Eventloop eventloop;
+  private final LongSupplier clock;
+  private final RoundTrips roundTrips;
+  private final EndpointRegister register = new EndpointRegister();
+  private final Map<ServiceName, ServiceScheduler> schedulers = new HashMap<>();
+  private final Map<ServiceName, RetryBudget> repeats = new HashMap<>();
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private MemberView members;
+  private long nextAskId = 1;
+  private boolean ticking;
+
+  private record Pending(ServiceName service, Ask ask, Consumer<Decision> onDecision) {}
+
+  Dispatcher(
+      GatewaySettings settings, Eventloop eventloop, LongSupplier clock, MemberView members) {
+    this.settings = settings;
+    this.eventloop = eventloop;
+    this.clock = clock;
+    this.members = members;
+    this.roundTrips = new RoundTrips(settings.zone(), settings.region(), settings.regions());
+  }
+
+  EndpointRegister register() {
+    return register;
+  }
+
+  /** Takes over a version of the configuration. */
+  void onConfig(GatewayConfig config) {
+    schedulers.keySet().retainAll(config.services().keySet());
+    config
+        .services()
+        .forEach(
+            (name, spec) -> {
+              ServiceScheduler scheduler = schedulers.get(name);
+              if (scheduler == null) {
+                scheduler = new ServiceScheduler(spec, placementSettings(), roundTrips);
+                scheduler.setColdInCharge(this::isInChargeOf);
+                schedulers.put(name, scheduler);
+              }
+              scheduler.onSpec(spec);
+            });
+    onRegisterChanged();
+  }
+
+  /** Hands the endpoints in use to the schedulers. */
+  void onRegisterChanged() {
+    long nowNanos = clock.getAsLong();
+    schedulers.forEach((name, scheduler) -> scheduler.onEndpoints(nowNanos, register.usable(name)));
+    lookAtWaiting();
+  }
+
+  /** Takes over what is believed of the other VMs. */
+  void onMembers(MemberView view) {
+    members = view;
+    schedulers.values().forEach(scheduler -> scheduler.onSettings(placementSettings()));
+  }
+
+  private PlacementSettings placementSettings() {
+    return PlacementSettings.sharedBy(Math.max(1, aliveIn(settings.region()).size()));
+  }
+
+  private ImmutableList<Member> aliveIn(RegionId region) {
+    return members.statuses().stream()
+        .filter(MemberStatus::takesCallers)
+        .map(MemberStatus::member)
+        .filter(member -> member.region().equals(region))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns whether this VM, of all in the endpoint's region, sends to it while it is cold. */
+  private boolean isInChargeOf(RegisteredEndpoint endpoint) {
+    ImmutableList<Member> near = aliveIn(roundTrips.regionOf(endpoint.zone()));
+    return Representatives.choose("cold/" + endpoint.id(), near)
+        .filter(member -> member.vm().equals(settings.vm()))
+        .isPresent();
+  }
+
+  /** Decides about a request, now or once a slot is free; returns the id of the ask. */
+  long place(PlaceRequest request, Consumer<Decision> onDecision) {
+    long id = nextAskId++;
+    Ask ask =
+        new Ask(
+            id,
+            request.rule(),
+            request.object(),
+            request.arrivedNanos(),
+            request.aimNanos(),
+            request.deadlineNanos(),
+            request.tried());
+    ServiceScheduler scheduler = schedulers.get(request.service());
+    if (scheduler == null) {
+      onDecision.accept(new Decision.TurnedAway(ask, TurnAwayReason.NO_ENDPOINT, 0));
+      return id;
+    }
+    if (ask.isRepeat()) {
+      if (!repeats(request.service()).tryRetry()) {
+        long retryAfterMillis = scheduler.retryAfterMillis(clock.getAsLong(), ask);
+        onDecision.accept(
+            new Decision.TurnedAway(ask, TurnAwayReason.REPEATS_SPENT, retryAfterMillis));
+        return id;
+      }
+    } else {
+      repeats(request.service()).recordFirstAttempt();
+    }
+    Optional<Decision> decision = scheduler.offer(clock.getAsLong(), ask);
+    if (decision.isPresent()) {
+      onDecision.accept(decision.get());
+      return id;
+    }
+    pending.put(id, new Pending(request.service(), ask, onDecision));
+    startTicking();
+    return id;
+  }
+
+  private RetryBudget repeats(ServiceName service) {
+    return repeats.computeIfAbsent(service, name -> newRepeatBudget());
+  }
+
+  private RetryBudget newRepeatBudget() {
+    int vms = Math.max(1, members.statuses().size());
+    int reserve = (int) (USED_REPEAT_SHARE * settings.repeatReserve() / vms);
+    return new RetryBudget(USED_REPEAT_SHARE * settings.repeatShare(), reserve, reserve);
+  }
+
+  /** Takes back a request that waits for a decision. */
+  void withdraw(long askId) {
+    Pending withdrawn = pending.remove(askId);
+    if (withdrawn != null) {
+      schedulers.get(withdrawn.service()).withdraw(withdrawn.ask());
+    }
+  }
+
+  /** Ends the use of an endpoint. */
+  void release(ServiceName service, Decision.Placed placed, UseEnd end) {
+    ServiceScheduler scheduler = schedulers.get(service);
+    if (scheduler != null) {
+      scheduler.release(clock.getAsLong(), placed, end);
+      lookAt(scheduler);
+    }
+  }
+
+  private void startTicking() {
+    if (!ticking) {
+      ticking = true;
+      eventloop.delay(TICK_MILLIS, this::tick);
+    }
+  }
+
+  private void tick() {
+    ticking = false;
+    lookAtWaiting();
+    if (!pending.isEmpty()) {
+      startTicking();
+    }
+  }
+
+  private void lookAtWaiting() {
+    schedulers.values().forEach(this::lookAt);
+  }
+
+  private void lookAt(ServiceScheduler scheduler) {
+    if (scheduler.waitingCount() == 0) {
+      return;
+    }
+    List<Decision> decisions = scheduler.onTick(clock.getAsLong());
+    for (Decision decision : decisions) {
+      Pending decided = pending.remove(decision.ask().id());
+      if (decided != null) {
+        decided.onDecision().accept(decision);
+      }
+    }
+  }
+
+  /** Returns the number of requests that wait for a slot. */
+  int waitingCount() {
+    return pending.size();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinks.java
@@ -0,0 +1,142 @@
+package org.mustardstage.entry.gateway;
+
+import io.activej.reactor.nio.NioReactor;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.mustardstage.core.manifest.HostAndPort;
+
+/** The links of one traffic thread to all endpoints. */
+final class EndpointLinks {
+  /** Links are closed this long before the endpoint would; a request may be on its way. */
+  private static final long CLOSE_MARGIN_MILLIS = 2_000;
+
+  /** How long idle links are kept when the endpoint doesn't say. */
+  private static final long DEFAULT_KEPT_MILLIS = 6_000;
+
+  private final NioReactor reactor;
+  private final Dialect dialect;
+  private final Map<HostAndPort, Pool> pools = new HashMap<>();
+
+  private static final class Pool {
+    private final Deque<EndpointLink> idle = new ArrayDeque<>();
+    private final Set<EndpointLink> open = new HashSet<>();
+  }
+
+  EndpointLinks(NioReactor reactor, Dialect dialect) {
+    this.reactor = reactor;
+    this.dialect = dialect;
+  }
+
+  /** Returns an idle link that answered within {@code withinMillis}, if there is one. */
+  Optional<EndpointLink> takeIdle(HostAndPort address, long nowNanos, long withinMillis) {
+    Pool pool = pools.get(address);
+    if (pool == null) {
+      return Optional.empty();
+    }
+    closeStale(pool, nowNanos);
+    while (!pool.idle.isEmpty()) {
+      EndpointLink freshest = pool.idle.peekLast();
+      if (!freshest.isIdle()) {
+        pool.idle.removeLast();
+        continue;
+      }
+      if (nowNanos - freshest.lastAnswerNanos() > TimeUnit.MILLISECONDS.toNanos(withinMillis)) {
+        return Optional.empty();
+      }
+      return Optional.of(pool.idle.removeLast());
+    }
+    return Optional.empty();
+  }
+
+  /** Returns a link that has yet to be made, or empty if there are {@code maxOpen} already. */
+  Optional<EndpointLink> create(HostAndPort address, int maxOpen) {
+    Pool pool = pools.computeIfAbsent(address, key -> new Pool());
+    if (pool.open.size() >= maxOpen && !closeOldestIdle(pool)) {
+      return Optional.empty();
+    }
+    EndpointLink[] self = new EndpointLink[1];
+    self[0] =
+        new EndpointLink(
+            reactor,
+            new InetSocketAddress(address.host(), address.port()),
+            dialect,
+            () -> pool.open.remove(self[0]));
+    pool.open.add(self[0]);
+    return Optional.of(self[0]);
+  }
+
+  private static boolean closeOldestIdle(Pool pool) {
+    EndpointLink oldest = pool.idle.pollFirst();
+    if (oldest == null) {
+      return false;
+    }
+    oldest.close();
+    return true;
+  }
+
+  /** Takes a link back that carries nothing. */
+  void giveBack(HostAndPort address, EndpointLink link) {
+    Pool pool = pools.get(address);
+    if (pool == null || !link.isIdle()) {
+      link.close();
+      return;
+    }
+    pool.idle.addLast(link);
+  }
+
+  /** Closes the links that the endpoint is about to close. */
+  void closeStale(long nowNanos) {
+    for (Iterator<Pool> all = pools.values().iterator(); all.hasNext(); ) {
+      Pool pool = all.next();
+      closeStale(pool, nowNanos);
+      if (pool.open.isEmpty()) {
+        all.remove();
+      }
+    }
+  }
+
+  private static void closeStale(Pool pool, long nowNanos) {
+    while (!pool.idle.isEmpty()) {
+      EndpointLink oldest = pool.idle.peekFirst();
+      if (!oldest.isClosed() && !isStale(oldest, nowNanos)) {
+        return;
+      }
+      pool.idle.removeFirst();
+      oldest.close();
+    }
+  }
+
+  private static boolean isStale(EndpointLink link, long nowNanos) {
+    long kept =
+        link.keptMillis() == Long.MAX_VALUE
+            ? DEFAULT_KEPT_MILLIS
+            : Math.max(0, link.keptMillis() - CLOSE_MARGIN_MILLIS);
+    return nowNanos - link.lastAnswerNanos() > TimeUnit.MILLISECONDS.toNanos(kept);
+  }
+
+  /** Closes all idle links to {@code address}: they have probably gone silent. */
+  void closeIdle(HostAndPort address) {
+    Pool pool = pools.get(address);
+    if (pool != null) {
+      new ArrayList<>(pool.idle).forEach(EndpointLink::close);
+      pool.idle.clear();
+    }
+  }
+
+  /** Closes every link. */
+  void closeAll() {
+    for (Pool pool : pools.values()) {
+      new ArrayList<>(pool.open).forEach(EndpointLink::close);
+    }
+    pools.clear();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -0,0 +1,440 @@
+package org.mustardstage.entry.gateway;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.activej.eventloop.Eventloop;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.mustardstage.core.gateway.GatewayConfig;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.id.VmIncarnation;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.member.Member;
+import org.mustardstage.core.member.MemberAction;
+import org.mustardstage.core.member.MemberStatus;
+import org.mustardstage.core.member.MemberView;
+import org.mustardstage.core.member.Membership;
+import org.mustardstage.core.member.MembershipSettings;
+import org.mustardstage.core.placement.Decision;
+import org.mustardstage.core.placement.UseEnd;
+import org.mustardstage.entry.gateway.RowStore.StoredRow;
+import org.mustardstage.entry.log.Event;
+import org.mustardstage.entry.log.EventLog;
+import org.mustardstage.entry.peer.PeerMessage;
+import org.mustardstage.entry.peer.PeerNetwork;
+import org.mustardstage.entry.platform.PlatformFailure;
+import org.mustardstage.entry.platform.VmList;
+
+/**
+ * The owner of the control state of a VM on a platform that describes deployments by routes: what
+ * operators want, which endpoints there are, which VMs are alive, and where requests run.
+ */
+final class GatewayControl implements Placer, GatewayStatus {
+  private static final long TICK_MILLIS = 50;
+  private static final long LINK_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final long LIST_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long ANNOUNCE_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long SILENT_PERIODS = 4;
+
+  /** A change of what operators want is told at once; a silent connection shows after this time. */
+  private static final RowFollower.Pace OPERATOR_PACE = new RowFollower.Pace(4_000, 50);
+
+  /** Endpoints write all the time; asking twice within the shortest drain time is enough. */
+  private static final RowFollower.Pace ENDPOINT_PACE = new RowFollower.Pace(1_000, 1_000);
+
+  private final GatewaySettings settings;
+  private final Deployment deployment;
+  private final Eventloop eventloop;
+  private final LongSupplier clock = System::nanoTime;
+  private final MembershipSettings membershipSettings = MembershipSettings.defaults();
+  private final Membership membership;
+  private final PeerNetwork network;
+  private final VmList vmList;
+  private final RowFollower operatorRows;
+  private final RowFollower endpointRows;
+  private final Dispatcher dispatcher;
+  private final Map<String, ZoneId> evacuations = new HashMap<>();
+  private final AtomicReference<Optional<GatewayConfig>> config =
+      new AtomicReference<>(Optional.empty());
+  private final AtomicReference<MemberView> memberView;
+  private Member self;
+  private volatile boolean endpointsKnown;
+  private volatile boolean leaving;
+  private long listReadNanos = Long.MIN_VALUE / 2;
+  private long announcedNanos = Long.MIN_VALUE / 2;
+  private boolean announced;
+  private long linksCheckedNanos = Long.MIN_VALUE / 2;
+
+  GatewayControl(GatewaySettings settings, Deployment deployment, long incarnationNumber) {
+    this.settings = settings;
+    this.deployment = deployment;
+    this.self =
+        new Member(
+            new VmIncarnation(settings.vm(), incarnationNumber),
+            settings.zone(),
+            settings.region(),
+            settings.callerAddress(),
+            settings.peerAddress(),
+            settings.metricsAddress(),
+            /* leaving= */ false);
+    this.eventloop =
+        Eventloop.builder()
+            .withThreadName("control")
+            .withFatalErrorHandler((e, context) -> EventLog.log(Event.CONTROL_FAULT, e))
+            .build();
+    this.membership = new Membership(membershipSettings, self, clock.getAsLong());
+    this.memberView = new AtomicReference<>(membership.view(clock.getAsLong()));
+    this.network = new PeerNetwork(eventloop, () -> self, clock, new Receiver());
+    RowStore store = deployment.rowStore(eventloop);
+    this.vmList = deployment.vmList(eventloop);
+    RowFollower.Timer timer = (delayMillis, task) -> eventloop.delay(delayMillis, task);
+    this.operatorRows =
+        new RowFollower(
+            store, Deployment.Feed.OPERATOR, OPERATOR_PACE, timer, new OperatorListener());
+    this.endpointRows =
+        new RowFollower(
+            store, Deployment.Feed.ENDPOINTS, ENDPOINT_PACE, timer, new EndpointListener());
+    this.dispatcher = new Dispatcher(settings, eventloop, clock, memberView.get());
+  }
+
+  void start() throws IOException {
+    eventloop.keepAlive(true);
+    new Thread(eventloop, "control").start();
+    try {
+      eventloop.submit(this::startOnLoop).join();
+    } catch (CompletionException e) {
+      throw new IOException("can't listen on " + settings.peerAddress(), e.getCause());
+    }
+  }
+
+  private void startOnLoop() throws IOException {
+    operatorRows.start();
+    endpointRows.start();
+    network.start();
+    settings.seedPeers().forEach(network::greet);
+    tick();
+  }
+
+  Eventloop eventloop() {
+    return eventloop;
+  }
+
+  Optional<GatewayConfig> config() {
+    return config.get();
+  }
+
+  private void tick() {
+    try {
+      onTick(clock.getAsLong());
+    } catch (RuntimeException e) {
+      EventLog.log(Event.CONTROL_FAULT, e);
+    }
+    eventloop.delay(TICK_MILLIS, this::tick);
+  }
+
+  private void onTick(long nowNanos) {
+    run(membership.onTick(nowNanos));
+    if (nowNanos - linksCheckedNanos >= LINK_CHECK_NANOS) {
+      linksCheckedNanos = nowNanos;
+      network.onTick();
+    }
+    if (dispatcher.register().onTick(nowNanos)) {
+      dispatcher.onRegisterChanged();
+    }
+    readVmList(nowNanos);
+    announceSelf(nowNanos);
+  }
+
+  private void readVmList(long nowNanos) {
+    boolean alone = memberView.get().statuses().size() <= 1;
+    if (nowNanos - listReadNanos < LIST_NANOS || !alone) {
+      return;
+    }
+    listReadNanos = nowNanos;
+    vmList
+        .read()
+        .whenResult(read -> read.peek(list -> run(membership.onVmList(clock.getAsLong(), list))));
+  }
+
+  /** Writes this run into the list of VMs, once; the others hear of it by messages from then on. */
+  private void announceSelf(long nowNanos) {
+    if (announced || nowNanos - announcedNanos < ANNOUNCE_RETRY_NANOS) {
+      return;
+    }
+    announcedNanos = nowNanos;
+    vmList.announce(self).whenResult(end -> announced |= end.isRight());
+  }
+
+  private void run(List<MemberAction> actions) {
+    for (MemberAction action : actions) {
+      switch (action) {
+        case MemberAction.SendMessage send ->
+            network.send(send.to(), new PeerMessage.OfMembership(send.message()));
+        case MemberAction.ViewChanged changed -> publishMembers();
+      }
+    }
+  }
+
+  private void publishMembers() {
+    MemberView view = membership.view(clock.getAsLong());
+    memberView.set(view);
+    dispatcher.onMembers(view);
+    EventLog.log(
+        Event.MEMBERS_CHANGED,
+        "alive",
+        view.statuses().stream().filter(MemberStatus::isAlive).count(),
+        "silentZones",
+        view.silentZones());
+  }
+
+  @Override
+  public boolean isReady() {
+    return !leaving && config.get().isPresent() && endpointsKnown;
+  }
+
+  @Override
+  public boolean knowsHost(String host) {
+    return config.get().filter(known -> known.hasHost(host)).isPresent();
+  }
+
+  @Override
+  public long answerLifetimeMillis() {
+    return settings.answerLifetimeMillis();
+  }
+
+  @Override
+  public ImmutableList<HostAndPort> vmsFor(RegionId region, ZoneId zone) {
+    ImmutableList<Member> taking =
+        memberView.get().takingCallers().stream()
+            .filter(member -> !member.vm().equals(settings.vm()) || isReady())
+            .collect(ImmutableList.toImmutableList());
+    ImmutableList<HostAndPort> inZone = addresses(taking, member -> member.zone().equals(zone));
+    if (!inZone.isEmpty()) {
+      return inZone;
+    }
+    ImmutableList<HostAndPort> inRegion =
+        addresses(taking, member -> member.region().equals(region));
+    return inRegion.isEmpty() ? addresses(taking, member -> true) : inRegion;
+  }
+
+  private static ImmutableList<HostAndPort> addresses(
+      List<Member> members, java.util.function.Predicate<Member> wanted) {
+    return members.stream()
+        .filter(wanted)
+        .map(Member::trafficAddress)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  @Override
+  public Ticket place(PlaceRequest request, Consumer<Decision> onDecision) {
+    long[] id = new long[1];
+    eventloop.execute(() -> id[0] = dispatcher.place(request, onDecision));
+    return () -> eventloop.execute(() -> dispatcher.withdraw(id[0]));
+  }
+
+  @Override
+  public void release(ServiceName service, Decision.Placed placed, UseEnd end) {
+    eventloop.execute(() -> dispatcher.release(service, placed, end));
+  }
+
+  /** Leaves the look-up answers and tells the other VMs. */
+  void leave() {
+    eventloop.execute(
+        () -> {
+          leaving = true;
+          self = self.asLeaving();
+          run(membership.leave(clock.getAsLong()));
+        });
+  }
+
+  void stop() {
+    eventloop
+        .submit(
+            () -> {
+              operatorRows.stop();
+              endpointRows.stop();
+              return network.stop().toVoid();
+            })
+        .join();
+    eventloop.keepAlive(false);
+    eventloop.execute(eventloop::breakEventloop);
+  }
+
+  private void onOperatorRows(List<StoredRow> changed) {
+    long nowNanos = clock.getAsLong();
+    for (StoredRow row : changed) {
+      if (row.value().isEmpty()) {
+        evacuations.remove(row.key());
+        continue;
+      }
+      Either<String, Deployment.OperatorRow> read =
+          deployment.readOperatorRow(row.key(), row.value().get());
+      if (read.isLeft()) {
+        EventLog.log(
+            Event.ROW_UNREADABLE,
+            "table",
+            Deployment.Feed.OPERATOR,
+            "key",
+            row.key(),
+            "version",
+            row.version(),
+            "why",
+            read.getLeft());
+        continue;
+      }
+      switch (read.get()) {
+        case Deployment.OperatorRow.Config declared -> onConfig(declared.config());
+        case Deployment.OperatorRow.Evacuation evacuation ->
+            evacuations.put(row.key(), evacuation.zone());
+        case Deployment.OperatorRow.Other other -> {}
+      }
+    }
+    Set<ZoneId> zones = ImmutableSet.copyOf(evacuations.values());
+    if (dispatcher.register().onEvacuated(nowNanos, zones)) {
+      EventLog.log(Event.EVACUATIONS_CHANGED, "zones", zones);
+    }
+    dispatcher.onRegisterChanged();
+  }
+
+  private void onConfig(GatewayConfig newer) {
+    Optional<GatewayConfig> held = config.get();
+    if (held.isPresent() && held.get().version().compareTo(newer.version()) >= 0) {
+      return;
+    }
+    config.set(Optional.of(newer));
+    membership.onVersion(newer.version());
+    dispatcher.onConfig(newer);
+    EventLog.log(Event.CONFIG_IN_FORCE, "version", newer.version());
+  }
+
+  private void onEndpointRows(List<StoredRow> changed) {
+    long nowNanos = clock.getAsLong();
+    for (StoredRow row : changed) {
+      Either<String, RegisteredEndpoint> read =
+          row.value().isEmpty()
+              ? Either.left("the entry is gone")
+              : deployment.readEndpoint(row.key(), row.value().get());
+      if (read.isRight()) {
+        if (dispatcher.register().onEntry(nowNanos, read.get())) {
+          RegisteredEndpoint endpoint = read.get();
+          EventLog.log(
+              endpoint.draining() ? Event.ENDPOINT_LEAVING : Event.ENDPOINT_REGISTERED,
+              "endpoint",
+              endpoint.id(),
+              "service",
+              endpoint.service(),
+              "address",
+              endpoint.address(),
+              "zone",
+              endpoint.zone(),
+              "coldLeftMillis",
+              endpoint.coldLeftMillis(),
+              "rowVersion",
+              row.version());
+        }
+        continue;
+      }
+      removeEndpoint(nowNanos, row, read.getLeft());
+    }
+    endpointsKnown = true;
+    dispatcher.onRegisterChanged();
+  }
+
+  private void removeEndpoint(long nowNanos, StoredRow row, String why) {
+    EndpointId id;
+    try {
+      id = new EndpointId(row.key());
+    } catch (IllegalArgumentException e) {
+      EventLog.log(
+          Event.ROW_UNREADABLE,
+          "table",
+          Deployment.Feed.ENDPOINTS,
+          "key",
+          row.key(),
+          "version",
+          row.version(),
+          "why",
+          e.getMessage());
+      return;
+    }
+    if (dispatcher.register().onMissing(nowNanos, id)) {
+      EventLog.log(Event.ENDPOINT_LEAVING, "endpoint", id, "why", why, "rowVersion", row.version());
+    }
+  }
+
+  private final class OperatorListener implements RowFollower.Listener {
+    @Override
+    public void onRows(List<StoredRow> changed, boolean whole) {
+      onOperatorRows(changed);
+    }
+
+    @Override
+    public void onStoreAnswers(boolean answers, Optional<PlatformFailure> failure) {
+      logStore(Deployment.Feed.OPERATOR, answers, failure);
+    }
+  }
+
+  private final class EndpointListener implements RowFollower.Listener {
+    @Override
+    public void onRows(List<StoredRow> changed, boolean whole) {
+      onEndpointRows(changed);
+    }
+
+    @Override
+    public void onStoreAnswers(boolean answers, Optional<PlatformFailure> failure) {
+      dispatcher.register().onRegisterAnswers(clock.getAsLong(), answers);
+      logStore(Deployment.Feed.ENDPOINTS, answers, failure);
+    }
+  }
+
+  private static void logStore(
+      Deployment.Feed feed, boolean answers, Optional<PlatformFailure> failure) {
+    EventLog.log(
+        answers ? Event.PLATFORM_BACK : Event.PLATFORM_LOST,
+        "table",
+        feed,
+        "why",
+        failure.map(Object::toString).orElse(""));
+  }
+
+  /** Takes in what other VMs send. */
+  private final class Receiver implements PeerNetwork.Receiver {
+    @Override
+    public void onHello(Member from) {
+      run(membership.onHello(clock.getAsLong(), from));
+    }
+
+    @Override
+    public void onMessage(Member from, PeerMessage message) {
+      switch (message) {
+        case PeerMessage.Hello hello -> onHello(hello.member());
+        case PeerMessage.OfMembership of ->
+            run(membership.onMessage(clock.getAsLong(), from, of.message()));
+        default -> EventLog.log(Event.BAD_FRAME, "vm", from.incarnation(), "why", "not used here");
+      }
+    }
+
+    @Override
+    public long silentAfterNanos(Member member) {
+      long periodNanos =
+          member.zone().equals(self.zone())
+              ? membershipSettings.heartbeatNanos(memberView.get().aliveInOwnZone().size())
+              : membershipSettings.regionHeartbeatNanos();
+      return SILENT_PERIODS * periodNanos;
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/PlaceRequest.java
@@ -0,0 +1,33 @@
+package org.mustardstage.entry.gateway;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import java.util.Set;
+import org.mustardstage.core.gateway.Rule;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.ServiceName;
+
+/**
+ * A request that needs an endpoint, as the traffic thread asks for it.
+ *
+ * @param service the service that it goes to
+ * @param rule the rule that it came under
+ * @param object what it is about, if requests for the same object run faster together
+ * @param arrivedNanos when it arrived
+ * @param aimNanos until when an answer is in time
+ * @param deadlineNanos until when an answer is of any use
+ * @param tried the endpoints that it was sent to before
+ */
+record PlaceRequest(
+    ServiceName service,
+    Rule rule,
+    Optional<String> object,
+    long arrivedNanos,
+    long aimNanos,
+    long deadlineNanos,
+    Set<EndpointId> tried) {
+  /** Copies the set. */
+  PlaceRequest {
+    tried = ImmutableSet.copyOf(tried);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Placer.java
@@ -0,0 +1,21 @@
+package org.mustardstage.entry.gateway;
+
+import java.util.function.Consumer;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.placement.Decision;
+import org.mustardstage.core.placement.UseEnd;
+
+/** Decides where requests run; used by traffic threads. */
+interface Placer {
+  /** A request that waits for a decision. */
+  interface Ticket {
+    /** Takes the request back: its caller has left. */
+    void withdraw();
+  }
+
+  /** Asks where a request may run. The answer comes on the thread that asked. */
+  Ticket place(PlaceRequest request, Consumer<Decision> onDecision);
+
+  /** Ends the use of an endpoint. */
+  void release(ServiceName service, Decision.Placed placed, UseEnd end);
+}
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestBytes.java
@@ -0,0 +1,46 @@
+package org.mustardstage.entry.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+
+/** Writes a request as an endpoint reads it. */
+final class RequestBytes {
+  private RequestBytes() {}
+
+  /**
+   * Returns the bytes of {@code request} for {@code endpoint}, which may take {@code leftMillis}.
+   */
+  static byte[] of(
+      CallerRequest request, RegisteredEndpoint endpoint, Dialect dialect, long leftMillis) {
+    StringBuilder head = new StringBuilder(512);
+    head.append(request.method())
+        .append(' ')
+        .append(request.pathAndQuery())
+        .append(" HTTP/1.1\r\n");
+    for (HeaderList.Line line : request.headers().lines()) {
+      append(head, line.name(), line.value());
+    }
+    append(head, dialect.deadlineMillis(), Long.toString(leftMillis));
+    append(head, dialect.expectedEndpoint(), endpoint.id().value());
+    if (request.body().length > 0 || mayHaveBody(request)) {
+      append(head, "Content-Length", Integer.toString(request.body().length));
+    }
+    head.append("\r\n");
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(head.length() + request.body().length);
+    bytes.writeBytes(head.toString().getBytes(StandardCharsets.ISO_8859_1));
+    bytes.writeBytes(request.body());
+    return bytes.toByteArray();
+  }
+
+  private static boolean mayHaveBody(CallerRequest request) {
+    return switch (request.method()) {
+      case POST, PUT, PATCH -> true;
+      default -> false;
+    };
+  }
+
+  private static void append(StringBuilder head, String name, String value) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+}
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -50,6 +50,18 @@
   ENDPOINT_LEAVING(50, Level.INFO),
   /** An endpoint takes work again. */
   ENDPOINT_BACK(51, Level.INFO),
+  /** An endpoint has registered itself, or started anew. */
+  ENDPOINT_REGISTERED(52, Level.INFO),
+  /** A version of the routes is in force. */
+  CONFIG_IN_FORCE(15, Level.INFO),
+  /** A row of the platform's store can't be read. */
+  ROW_UNREADABLE(16, Level.WARN),
+  /** The zones to evacuate have changed. */
+  EVACUATIONS_CHANGED(17, Level.INFO),
+  /** The settings were read anew. */
+  SETTINGS_RELOADED(6, Level.INFO),
+  /** A request has its answer. */
+  REQUEST_ENDED(60, Level.INFO),
   /** An unexpected exception was caught on the control thread. */
   CONTROL_FAULT(90, Level.ERROR);
 
--- a/entry/src/main/java/org/mustardstage/entry/log/LogSetup.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/LogSetup.java
@@ -1,11 +1,13 @@
 package org.mustardstage.entry.log;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import org.slf4j.LoggerFactory;
@@ -15,6 +17,11 @@
   private static final String PATTERN =
       "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %-5level %thread %logger %msg %kvp{NONE}%n";
 
+  private static final String ASYNC_APPENDER = "async";
+
+  /** About ten seconds of lines of a busy VM. */
+  private static final int MAX_WAITING_LINES = 1_024;
+
   private LogSetup() {}
 
   /** Sets the format and the least important level that is logged. */
@@ -31,6 +38,38 @@
     context.getLogger("mustardstage").setLevel(Level.toLevel(level));
   }
 
+  /**
+   * Sets up JSON lines that never hold up the threads that log: what the output can't take in time
+   * is dropped.
+   */
+  public static void configureNonBlocking(String level) {
+    configure(/* json= */ true, level);
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+    Appender<ILoggingEvent> output = root.iteratorForAppenders().next();
+    root.detachAppender(output);
+    AsyncAppender appender = new AsyncAppender();
+    appender.setContext(context);
+    appender.setName(ASYNC_APPENDER);
+    appender.setQueueSize(MAX_WAITING_LINES);
+    appender.setNeverBlock(true);
+    appender.addAppender(output);
+    appender.start();
+    root.addAppender(appender);
+  }
+
+  /** Sets the least important level that is logged. */
+  public static void setLevel(String level) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.getLogger("mustardstage").setLevel(Level.toLevel(level));
+  }
+
+  /** Writes what still waits. */
+  public static void flush() {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.stop();
+  }
+
   private static Encoder<ILoggingEvent> jsonEncoder(LoggerContext context) {
     JsonEncoder encoder = new JsonEncoder();
     encoder.setContext(context);
--- a/entry/src/main/java/org/mustardstage/entry/platform/PlatformFailure.java
+++ b/entry/src/main/java/org/mustardstage/entry/platform/PlatformFailure.java
@@ -14,6 +14,9 @@
   /** The answer could not be understood. */
   record Malformed(String detail) implements PlatformFailure {}
 
+  /** Changes this long ago are no longer known; the rows have to be read anew. */
+  record HistoryLost() implements PlatformFailure {}
+
   /** The object's content does not have the hash it is stored under. */
   record WrongHash(String expected, String actual) implements PlatformFailure {}
 }
--- a/entry/src/main/java/org/mustardstage/entry/traffic/CallerConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/CallerConnection.java
@@ -3,7 +3,7 @@
 import io.activej.net.socket.tcp.TcpSocket;
 
 /** What is known of one open connection of a caller. */
-final class CallerConnection {
+public final class CallerConnection {
   private enum Phase {
     /** The head of a request is awaited. */
     HEAD,
@@ -29,12 +29,12 @@
   }
 
   /** Sets what runs when the caller leaves before its answer is complete. */
-  void setOnLeft(Runnable onLeft) {
+  public void setOnLeft(Runnable onLeft) {
     this.onLeft = onLeft;
   }
 
   /** Makes the connection close when the current answer has been sent. */
-  void closeAfterAnswer() {
+  public void closeAfterAnswer() {
     closeAfterAnswer = true;
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/traffic/CallerConnections.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/CallerConnections.java
@@ -18,7 +18,7 @@
 import java.util.function.Predicate;
 
 /** The open connections of callers to one traffic thread. It closes those that are too slow. */
-final class CallerConnections {
+public final class CallerConnections {
   private final Reactor reactor;
   private final int maxHeadBytes;
   private final CallerTimeouts timeouts;
@@ -26,7 +26,9 @@
   private final Set<CallerConnection> open = new LinkedHashSet<>();
   private CallerConnection lastAccepted;
 
-  CallerConnections(Reactor reactor, TrafficSettings settings, AtomicInteger openInAllThreads) {
+  /** Creates the connections of one thread; {@code openInAllThreads} counts those of all. */
+  public CallerConnections(
+      Reactor reactor, TrafficSettings settings, AtomicInteger openInAllThreads) {
     this.reactor = reactor;
     this.maxHeadBytes = settings.limits().maxHeadBytes();
     this.timeouts = CallerTimeouts.of(settings);
@@ -34,33 +36,33 @@
   }
 
   /** Returns the inspector that sees the sockets of callers. */
-  TcpSocket.Inspector socketInspector() {
+  public TcpSocket.Inspector socketInspector() {
     return new SocketInspector();
   }
 
   /** Returns the inspector that sees the requests of callers. */
-  HttpServer.Inspector httpInspector() {
+  public HttpServer.Inspector httpInspector() {
     return new HttpInspector();
   }
 
   /** Returns the connection that {@code request} came over. */
-  static CallerConnection of(HttpRequest request) {
+  public static CallerConnection of(HttpRequest request) {
     return (CallerConnection) request.getConnection().getUserData();
   }
 
   /** Closes the connections whose callers are too slow. */
-  void closeSlow() {
+  public void closeSlow() {
     long nowNanos = System.nanoTime();
     closeAll(connection -> connection.isTooSlow(nowNanos, timeouts));
   }
 
   /** Closes the connections that carry no request. */
-  void closeQuiet() {
+  public void closeQuiet() {
     closeAll(CallerConnection::isQuiet);
   }
 
   /** Returns whether every connection is without a request. */
-  boolean areQuiet() {
+  public boolean areQuiet() {
     return open.stream().allMatch(CallerConnection::isQuiet);
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/traffic/Headers.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/Headers.java
@@ -5,7 +5,7 @@
 import io.activej.http.HttpHeaders;
 
 /** The headers of the caller API and the endpoint API. */
-final class Headers {
+public final class Headers {
   static final HttpHeader SERVICE = HttpHeaders.register("Mustardstage-Service");
   static final HttpHeader DEADLINE_MILLIS = HttpHeaders.register("Mustardstage-Deadline-Millis");
   static final HttpHeader IDEMPOTENCY_KEY = HttpHeaders.register("Mustardstage-Idempotency-Key");
@@ -51,7 +51,7 @@
   }
 
   /** Returns whether {@code header} belongs to one connection and is not passed on. */
-  static boolean isHopByHop(HttpHeader header) {
+  public static boolean isHopByHop(HttpHeader header) {
     return HOP_BY_HOP.contains(header);
   }
 }
