--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
@@ -1,6 +1,7 @@
 package org.mustardstage.entry.gateway;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
 
@@ -35,7 +36,11 @@
         "zone",
         settings.zone(),
         "traffic",
-        settings.callerAddress());
+        settings.callerAddress(),
+        "jvmOptions",
+        System.getenv().getOrDefault("JAVA_TOOL_OPTIONS", ""),
+        "cpuMillis",
+        ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() / 1_000_000);
   }
 
   /**
