--- a/core/src/main/java/org/mustardstage/core/placement/EndpointUse.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointUse.java
@@ -16,9 +16,13 @@
 
   private static final double SLOWEST = 20;
 
+  /** Objects that are asked for often have been asked for by then. */
+  private static final long SETTLED_AFTER_NANOS = 4_000_000_000L;
+
   private final EndpointTrust trust = new EndpointTrust();
   private final WarmObjects warm = new WarmObjects();
   private RegisteredEndpoint endpoint;
+  private long sinceNanos;
   private int slots;
   private int running;
   private double othersRunning;
@@ -27,8 +31,9 @@
   private long coldUntilNanos;
   private Optional<ColdAllowance> coldAllowance = Optional.empty();
 
-  EndpointUse(RegisteredEndpoint endpoint) {
+  EndpointUse(RegisteredEndpoint endpoint, long nowNanos) {
     this.endpoint = endpoint;
+    this.sinceNanos = nowNanos;
     this.slots = endpoint.slots();
   }
 
@@ -57,8 +62,9 @@
   }
 
   /** Takes over a newer entry of the register; another run holds nothing of before. */
-  void update(RegisteredEndpoint newer) {
+  void update(RegisteredEndpoint newer, long nowNanos) {
     if (!newer.isSameRunAs(endpoint)) {
+      sinceNanos = nowNanos;
       warm.clear();
       slowness = 1;
     }
@@ -66,6 +72,11 @@
     endpoint = newer;
   }
 
+  /** Returns whether the endpoint has run long enough to hold what is asked of it often. */
+  boolean isSettled(long nowNanos) {
+    return nowNanos - sinceNanos > SETTLED_AFTER_NANOS && !isCold(nowNanos);
+  }
+
   /** Holds requests back until the endpoint is warmed up. */
   void becomeCold(long nowNanos, long untilNanos, double perSecond) {
     if (untilNanos - coldUntilNanos <= 0 && isCold(nowNanos)) {
@@ -73,6 +84,7 @@
     }
     if (coldAllowance.isEmpty() || !isCold(nowNanos)) {
       coldAllowance = Optional.of(new ColdAllowance(nowNanos, perSecond));
+      sinceNanos = untilNanos;
       warm.clear();
     }
     coldUntilNanos = untilNanos;
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -7,16 +7,19 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.gateway.ServiceSpec;
 import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.route.Proximity;
 
 /**
@@ -44,6 +47,9 @@
 
   private static final long MIN_RETRY_AFTER_MILLIS = 80;
   private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
+  /** Orders are worked out anew when this many objects were seen; it bounds memory only. */
+  private static final int MAX_ORDERS = 4_096;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   /** Callers that are turned away together come back spread around the time worked out. */
@@ -58,7 +64,7 @@
   private final WorkTimes workTimes = new WorkTimes();
   private final Map<EndpointId, EndpointUse> endpoints = new HashMap<>();
   private final NavigableSet<Ask> waiting = new TreeSet<>(URGENT_FIRST);
-  private final Map<String, int[]> orders = new HashMap<>();
+  private final Map<String, ObjectOrder> orders = new HashMap<>();
   private PlacementSettings settings;
   private ServiceSpec spec;
   private ImmutableList<EndpointUse> usable = ImmutableList.of();
@@ -94,9 +100,9 @@
       RegisteredEndpoint endpoint = each.endpoint();
       EndpointUse use = endpoints.get(endpoint.id());
       if (use == null) {
-        use = new EndpointUse(endpoint);
+        use = new EndpointUse(endpoint, nowNanos);
       } else {
-        use.update(endpoint);
+        use.update(endpoint, nowNanos);
       }
       if (each.coldUntilNanos() - nowNanos > 0) {
         use.becomeCold(nowNanos, each.coldUntilNanos(), spec.coldPerSecond());
@@ -278,13 +284,13 @@
   private Choice choose(long nowNanos, Ask ask) {
     Candidate best = null;
     Candidate free = null;
-    int[] order = ask.object().map(this::orderOf).orElse(null);
+    ObjectOrder order = ask.object().map(this::orderOf).orElse(null);
     for (int i = 0; i < usable.size(); i++) {
       EndpointUse use = usable.get(i);
       if (!mayServe(nowNanos, ask, use)) {
         continue;
       }
-      Candidate candidate = candidate(nowNanos, ask, use, order == null ? 0 : order[i]);
+      Candidate candidate = candidate(nowNanos, ask, use, order, i);
       if (best == null || candidate.cost() < best.cost()) {
         best = candidate;
       }
@@ -309,8 +315,13 @@
     return !use.isCold(nowNanos) || (coldInCharge.test(use.endpoint()) && use.coldAllows(nowNanos));
   }
 
-  private Candidate candidate(long nowNanos, Ask ask, EndpointUse use, int place) {
-    boolean warm = ask.object().map(object -> use.warm().holds(nowNanos, object)).orElse(true);
+  private Candidate candidate(
+      long nowNanos, Ask ask, EndpointUse use, ObjectOrder order, int index) {
+    int place = order == null ? 0 : order.places()[index];
+    boolean warm =
+        order == null
+            || use.warm().holds(nowNanos, ask.object().orElseThrow())
+            || (order.firstInZone()[index] && use.isSettled(nowNanos));
     double workNanos = workTimes.expectedNanos(ask.rule(), warm) * use.slowness();
     long wayNanos = roundTrips.nanosTo(use.endpoint().zone());
     double free = use.freeSlots(nowNanos) + settings.queueShare() * use.slots();
@@ -338,12 +349,24 @@
     };
   }
 
-  /** Returns the place of each usable endpoint in the order of {@code object}, from 0. */
-  private int[] orderOf(String object) {
+  /**
+   * The order in which endpoints are chosen for an object.
+   *
+   * @param places the place of each usable endpoint, from 0, among those that are as near as it
+   * @param firstInZone whether it is the first of its zone, which handles the object for callers
+   *     there and so probably has it warm
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  private record ObjectOrder(int[] places, boolean[] firstInZone) {}
+
+  private ObjectOrder orderOf(String object) {
+    if (orders.size() > MAX_ORDERS) {
+      orders.clear();
+    }
     return orders.computeIfAbsent(object, this::computeOrder);
   }
 
-  private int[] computeOrder(String object) {
+  private ObjectOrder computeOrder(String object) {
     int count = usable.size();
     List<Integer> byHash = new ArrayList<>(count);
     long[] hashes = new long[count];
@@ -356,11 +379,14 @@
     }
     byHash.sort(Comparator.comparingLong(i -> hashes[i]));
     int[] places = new int[count];
+    boolean[] firstInZone = new boolean[count];
     Map<Proximity, Integer> next = new HashMap<>();
+    Set<ZoneId> zones = new HashSet<>();
     for (int i : byHash) {
-      Proximity proximity = roundTrips.proximityOf(usable.get(i).endpoint().zone());
-      places[i] = next.merge(proximity, 1, Integer::sum) - 1;
+      ZoneId zone = usable.get(i).endpoint().zone();
+      places[i] = next.merge(roundTrips.proximityOf(zone), 1, Integer::sum) - 1;
+      firstInZone[i] = zones.add(zone);
     }
-    return places;
+    return new ObjectOrder(places, firstInZone);
   }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/WorkTimes.java
+++ b/core/src/main/java/org/mustardstage/core/placement/WorkTimes.java
@@ -15,6 +15,9 @@
   /** The weight of one answer; about the last ten decide. */
   private static final double SAMPLE_WEIGHT = 0.1;
 
+  /** Only from this ratio on can the two times be told apart by one answer. */
+  private static final double CLEARLY_SLOWER = 1.5;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final Map<String, Estimate> byRule = new HashMap<>();
@@ -22,12 +25,22 @@
   private static final class Estimate {
     private double warmNanos;
     private double coldNanos;
+
+    boolean isWarm(boolean believedWarm, long nanos) {
+      if (warmNanos == 0 || coldNanos < CLEARLY_SLOWER * warmNanos) {
+        return believedWarm;
+      }
+      return nanos < (warmNanos + coldNanos) / 2;
+    }
   }
 
-  /** Takes in how long a request ran. */
-  void observe(Rule rule, boolean warm, long nanos) {
+  /**
+   * Takes in how long a request ran. Once both times are known, it counts for the one that it is
+   * nearer to, as {@code believedWarm} is a guess.
+   */
+  void observe(Rule rule, boolean believedWarm, long nanos) {
     Estimate estimate = byRule.computeIfAbsent(rule.name(), name -> new Estimate());
-    if (warm) {
+    if (estimate.isWarm(believedWarm, nanos)) {
       estimate.warmNanos = mix(estimate.warmNanos, nanos);
     } else {
       estimate.coldNanos = mix(estimate.coldNanos, nanos);
@@ -52,9 +65,4 @@
     }
     return other > 0 ? other : unseen;
   }
-
-  /** Forgets the rules that {@code kept} does not name. */
-  void retain(java.util.Set<String> kept) {
-    byRule.keySet().retainAll(kept);
-  }
 }
--- /dev/null
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewaySettingsReaderTest.java
@@ -0,0 +1,64 @@
+package org.mustardstage.entry.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.DocumentProblem;
+import org.mustardstage.core.manifest.HostAndPort;
+
+class GatewaySettingsReaderTest {
+  private static final String SETTINGS =
+      """
+      vm: edge-1
+      zone: north-a
+      region: north
+      regions: {north-a: north, south-a: south}
+      callerAddress: 10.0.0.1:8144
+      readinessAddress: 10.0.0.1:8140
+      lookupAddress: ""
+      peerAddress: 10.0.0.1:7660
+      metricsAddress: 10.0.0.1:7661
+      platformAddress: 10.9.0.1:8142
+      seedHosts: ["10.0.0.1:8146", "10.0.0.2:8146"]
+      stopWithinSeconds: 6.5
+      repeatShare: 0.2
+      repeatReserve: 120
+      """;
+
+  @Test
+  void yamlIsRead() {
+    GatewaySettings settings = GatewaySettingsReader.read(SETTINGS).get();
+
+    assertThat(settings.regions().get(new ZoneId("south-a")), is(new RegionId("south")));
+    assertThat(settings.lookupAddress(), is(Optional.empty()));
+    assertThat(settings.seedPeers(), contains(new HostAndPort("10.0.0.2", 7660)));
+    assertThat(settings.stopWithinMillis(), is(6_500L));
+    assertThat(settings.logLevel(), is("info"));
+  }
+
+  @Test
+  void allProblemsAreNamed() {
+    Either<List<DocumentProblem>, GatewaySettings> read =
+        GatewaySettingsReader.read(
+            SETTINGS
+                .replace("zone: north-a\n", "zone: North A\n")
+                .replace("repeatShare: 0.2\n", "repeatShare: much\n"));
+
+    List<String> paths = read.getLeft().stream().map(DocumentProblem::path).toList();
+    assertThat(paths, hasItem("/zone"));
+    assertThat(paths, hasItem("/repeatShare"));
+  }
+
+  @Test
+  void brokenTextIsRefused() {
+    assertThat(GatewaySettingsReader.read("{\"vm\": ").isLeft(), is(true));
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/ReplyParserTest.java
@@ -0,0 +1,105 @@
+package org.mustardstage.entry.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.mustardstage.entry.gateway.ReplyParser.MalformedReplyException;
+
+class ReplyParserTest {
+  private final ReplyParser parser = new ReplyParser(false);
+
+  @Test
+  void wholeAnswerIsReturnedHoweverItsBytesArrive() throws MalformedReplyException {
+    String text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello";
+    for (int i = 0; i < text.length() - 1; i++) {
+      add(text.substring(i, i + 1));
+      assertThat(parser.next(), is(Optional.empty()));
+    }
+    add("o");
+
+    EndpointReply reply = parser.next().orElseThrow();
+
+    assertThat(reply.status(), is(200));
+    assertThat(reply.headers().find("x-a"), is(Optional.of("b")));
+    assertThat(bodyOf(reply), is("hello"));
+    assertThat(parser.hasLeftovers(), is(false));
+  }
+
+  @Test
+  void chunksAreJoined() throws MalformedReplyException {
+    add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n");
+
+    assertThat(bodyOf(parser.next().orElseThrow()), is("abcde"));
+  }
+
+  @Test
+  void answerThatIsCutShortIsNotWhole() throws MalformedReplyException {
+    add("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel");
+
+    assertThat(parser.next(), is(Optional.empty()));
+    assertThat(parser.atEndOfStream(), is(Optional.empty()));
+  }
+
+  @Test
+  void chunksWithoutAnEndAreNotWhole() throws MalformedReplyException {
+    add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+
+    assertThat(parser.next(), is(Optional.empty()));
+    assertThat(parser.atEndOfStream(), is(Optional.empty()));
+  }
+
+  @Test
+  void answerWithoutLengthEndsWithItsConnection() throws MalformedReplyException {
+    add("HTTP/1.1 200 OK\r\n\r\nhello");
+
+    assertThat(parser.next(), is(Optional.empty()));
+    assertThat(bodyOf(parser.atEndOfStream().orElseThrow()), is("hello"));
+  }
+
+  @Test
+  void bytesAfterAnAnswerAreLeftOver() throws MalformedReplyException {
+    add("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n");
+
+    assertThat(bodyOf(parser.next().orElseThrow()), is("a"));
+    assertThat(parser.hasLeftovers(), is(true));
+  }
+
+  @Test
+  void interimAnswersArePassedOver() throws MalformedReplyException {
+    add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
+
+    assertThat(parser.next().orElseThrow().status(), is(204));
+  }
+
+  @Test
+  void ambiguousOrBrokenFramingIsMalformed() {
+    assertMalformed("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\na");
+    assertMalformed("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    assertMalformed("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n");
+    assertMalformed("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n");
+    assertMalformed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+    assertMalformed("HTTP/1.1 20x OK\r\n\r\n");
+    assertMalformed("HTTP/1.1 200 OK\r\nno colon\r\n\r\n");
+    assertMalformed("\u0000\u0001garbage");
+  }
+
+  private static void assertMalformed(String text) {
+    ReplyParser broken = new ReplyParser(false);
+    byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+    broken.add(bytes, 0, bytes.length);
+    assertThrows(MalformedReplyException.class, broken::next, text);
+  }
+
+  private void add(String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+    parser.add(bytes, 0, bytes.length);
+  }
+
+  private static String bodyOf(EndpointReply reply) {
+    return new String(reply.body(), StandardCharsets.ISO_8859_1);
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/ServiceChoiceTest.java
@@ -0,0 +1,53 @@
+package org.mustardstage.entry.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.mustardstage.core.gateway.Rule;
+import org.mustardstage.core.gateway.WeightedService;
+import org.mustardstage.core.id.ServiceName;
+
+class ServiceChoiceTest {
+  private static final ServiceName FIRST = new ServiceName("first");
+  private static final ServiceName SECOND = new ServiceName("second");
+
+  private final ServiceChoice choice = new ServiceChoice();
+
+  @Test
+  void everyStretchOfRequestsComesCloseToTheWeights() {
+    Rule rule = rule(90, 10);
+    for (int from = 0; from < 20; from++) {
+      int second = 0;
+      for (int i = 0; i < 50; i++) {
+        second += choice.choose(rule).equals(SECOND) ? 1 : 0;
+      }
+      assertThat((double) second, is(closeTo(5, 1)));
+    }
+  }
+
+  @Test
+  void serviceWithoutWeightGetsNothing() {
+    Rule rule = rule(1, 0);
+    for (int i = 0; i < 20; i++) {
+      assertThat(choice.choose(rule), is(FIRST));
+    }
+  }
+
+  private static Rule rule(double first, double second) {
+    return new Rule(
+        "split",
+        "/",
+        true,
+        300,
+        2,
+        false,
+        List.of(new WeightedService(FIRST, first), new WeightedService(SECOND, second)),
+        1_200,
+        2,
+        Set.of());
+  }
+}
