Keep an object at its first endpoint in each region; learn only from answers without a queue

A replay of the users' demand in virtual time (ReplayWorld) showed why: when a home was full, requests ran cold on other endpoints, took three times the work and pushed out what was warm there; and answers that had waited at an endpoint counted as slow work, which sent still more away from the homes.

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointUse.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointUse.java
@@ -8,8 +8,10 @@
   /** The weight of one load report in the estimate of what others have running there. */
   private static final double REPORT_WEIGHT = 0.5;
 
-  /** Reports are about the near past; an estimate without a new report halves in this time. */
-  private static final double REPORT_HALF_LIFE_NANOS = 1e9;
+  /** What others have running halves in this many times the work of a request. */
+  private static final double REPORT_HALF_LIFE_WORKS = 1.5;
+
+  private static final double SHORTEST_HALF_LIFE_NANOS = 100e6;
 
   /** The weight of one answer in the estimate of the speed. */
   private static final double SPEED_WEIGHT = 0.15;
@@ -27,6 +29,7 @@
   private int running;
   private double othersRunning;
   private long reportedNanos;
+  private double reportHalfLifeNanos = SHORTEST_HALF_LIFE_NANOS;
   private double slowness = 1;
   private long coldUntilNanos;
   private Optional<ColdAllowance> coldAllowance = Optional.empty();
@@ -106,12 +109,7 @@
 
   private double othersRunning(long nowNanos) {
     double age = nowNanos - reportedNanos;
-    return othersRunning * Math.exp(-Math.log(2) * age / REPORT_HALF_LIFE_NANOS);
-  }
-
-  /** Returns the share of the slots that is believed taken. */
-  double usedShare(long nowNanos) {
-    return 1 - freeSlots(nowNanos) / slots;
+    return othersRunning * Math.exp(-Math.log(2) * age / reportHalfLifeNanos);
   }
 
   void onSent(long nowNanos) {
@@ -126,13 +124,16 @@
     running = Math.max(0, running - 1);
   }
 
-  void observeReport(long nowNanos, UseEnd.LoadReport report) {
+  /** Takes in what the endpoint says of its load, where a request runs {@code workNanos}. */
+  void observeReport(long nowNanos, UseEnd.LoadReport report, double workNanos) {
     if (report.slots() > 0) {
       slots = report.slots();
     }
     double others = Math.max(0, report.running() + report.waiting() - running - 1);
-    othersRunning = othersRunning(nowNanos) * (1 - REPORT_WEIGHT) + REPORT_WEIGHT * others;
+    double before = othersRunning(nowNanos);
+    othersRunning = before + REPORT_WEIGHT * (others - before);
     reportedNanos = nowNanos;
+    reportHalfLifeNanos = Math.max(SHORTEST_HALF_LIFE_NANOS, REPORT_HALF_LIFE_WORKS * workNanos);
   }
 
   void observeSpeed(double actualNanos, double expectedNanos) {
--- a/core/src/main/java/org/mustardstage/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/mustardstage/core/placement/PlacementSettings.java
@@ -8,8 +8,7 @@
  * @param otherRegionNanos the same for another region
  * @param sharers how many schedulers use the same endpoints
  */
-public record PlacementSettings(
-    long otherZoneNanos, long otherRegionNanos, int sharers) {
+public record PlacementSettings(long otherZoneNanos, long otherRegionNanos, int sharers) {
   /** Returns the settings of a scheduler that shares its endpoints with {@code sharers - 1}. */
   public static PlacementSettings sharedBy(int sharers) {
     return new PlacementSettings(3_000_000, 30_000_000, sharers);
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -35,7 +35,10 @@
   private static final double WORK_MARGIN = 1.1;
 
   /** What each place in an object's order of endpoints costs, as a share of the work. */
-  private static final double ORDER_COST = 0.04;
+  private static final double ORDER_COST = 0.5;
+
+  /** How many endpoints of a region an object uses. */
+  private static final int PLACES = 1;
 
   /** What an answer after the objective costs, as a share of the objective. */
   private static final double LATE_COST = 0.5;
@@ -179,7 +182,7 @@
       return;
     }
     use.onEnd();
-    end.report().ifPresent(report -> use.observeReport(nowNanos, report));
+    end.report().ifPresent(report -> use.observeReport(nowNanos, report, meanWorkNanos));
     if (end.result() == UseEnd.Result.ANSWERED) {
       learn(nowNanos, placed, use, end);
     } else if (end.result() == UseEnd.Result.SILENT) {
@@ -191,10 +194,15 @@
     }
   }
 
+  /** Learns from an answer, unless requests wait at the endpoint: the work can't be told then. */
   private void learn(long nowNanos, Decision.Placed placed, EndpointUse use, UseEnd end) {
     long wayNanos = roundTrips.nanosTo(use.endpoint().zone());
     long workNanos = Math.max(1, end.elapsedNanos() - wayNanos);
     Ask ask = placed.ask();
+    ask.object().ifPresent(object -> use.warm().handled(nowNanos, object));
+    if (end.report().filter(report -> report.waiting() > 0).isPresent()) {
+      return;
+    }
     if (!use.isCold(nowNanos)) {
       workTimes.observe(ask.rule(), placed.warm(), (long) (workNanos / use.slowness()));
       meanWorkNanos =
@@ -296,13 +304,23 @@
   private record Choice(
       Optional<Candidate> now, Optional<Candidate> best, Optional<Candidate> free) {}
 
+  /**
+   * Returns the endpoints in question for an ask. An object stays at its first endpoint in each
+   * region: work on one that has to be warmed up takes several times as long, and pushes out what
+   * is warm there. Others are in question only when no first one may be used.
+   */
   private Choice choose(long nowNanos, Ask ask, double turnNanos) {
+    Choice choice = choose(nowNanos, ask, turnNanos, PLACES);
+    return choice.best().isPresent() ? choice : choose(nowNanos, ask, turnNanos, Integer.MAX_VALUE);
+  }
+
+  private Choice choose(long nowNanos, Ask ask, double turnNanos, int placesAllowed) {
     Candidate best = null;
     Candidate free = null;
     ObjectOrder order = ask.object().map(this::orderOf).orElse(null);
     for (int i = 0; i < usable.size(); i++) {
       EndpointUse use = usable.get(i);
-      if (!mayServe(nowNanos, ask, use)) {
+      if (!mayServe(nowNanos, ask, use) || (order != null && order.places()[i] >= placesAllowed)) {
         continue;
       }
       Candidate candidate = candidate(nowNanos, ask, use, order, i, turnNanos);
@@ -367,8 +385,8 @@
   /**
    * The order in which endpoints are chosen for an object.
    *
-   * @param places the place of each usable endpoint in its region, from 0; the first one handles the
-   *     object for the callers of the region, and so probably has it warm
+   * @param places the place of each usable endpoint in its region, from 0; the first one handles
+   *     the object for the callers of the region, and so probably has it warm
    */
   @SuppressWarnings("ArrayRecordComponent")
   private record ObjectOrder(int[] places) {}
--- a/entry/src/test/java/org/mustardstage/entry/gateway/RowFollowerTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/RowFollowerTest.java
@@ -89,6 +89,33 @@
     assertThat(store.calls, contains("all", "after 7", "after 7", "after 7"));
   }
 
+  @Test
+  void storeThatIsAwayIsAskedWithoutWaiting() {
+    follower.start();
+    store.answer(rows(7));
+    runTimers();
+    store.answer(Either.left(new PlatformFailure.NoAnswer("silent")));
+    runTimers();
+    store.answer(rows(8));
+    runTimers();
+
+    assertThat(store.waitsMillis, contains(1_000L, 0L, 1_000L));
+  }
+
+  @Test
+  void waitingCallIsGivenUpWhenConnectionsMayBeSilent() {
+    follower.start();
+    store.answer(rows(7));
+    runTimers();
+    SettablePromise<Either<PlatformFailure, Rows>> silent = store.open;
+    follower.suspectSilence();
+    store.answer(rows(9, row("a", 9)));
+    silent.set(rows(8, row("b", 8)));
+
+    assertThat(store.waitsMillis, contains(1_000L, 0L));
+    assertThat(seen, contains("back", "a@9"));
+  }
+
   @Test
   void rowsOfAnotherVmAreTakenWhenTheyAreNewer() {
     follower.start();
@@ -129,6 +156,7 @@
 
   private static final class FakeStore implements RowStore {
     private final List<String> calls = new ArrayList<>();
+    private final List<Long> waitsMillis = new ArrayList<>();
     private SettablePromise<Either<PlatformFailure, Rows>> open = new SettablePromise<>();
 
     @Override
@@ -142,6 +170,7 @@
     public Promise<Either<PlatformFailure, Rows>> changes(
         Deployment.Feed feed, long afterVersion, long waitMillis) {
       calls.add("after " + afterVersion);
+      waitsMillis.add(waitMillis);
       open = new SettablePromise<>();
       return open;
     }
