--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -9,7 +9,6 @@
 import io.activej.promise.Promise;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -76,10 +75,7 @@
         .ifPresent(listen -> addServer(listen, deployment.directory(eventloop, status)));
     addServer(
         settings.metricsAddress(),
-        request ->
-            HttpResponse.ok200()
-                .withBody(metrics.text().getBytes(StandardCharsets.UTF_8))
-                .toPromise());
+        request -> HttpResponse.ok200().withBody(metrics.text()).toPromise());
   }
 
   @Override
