VMs cut off from the store learn rows from the others; half the rate for cold endpoints

Ruled out: two schedulers in charge of a cold endpoint (each would have stayed under its rate). Change: while the store can't be reached from a VM, it asks two others every half second for the rows that changed.

--- a/core/src/main/java/org/mustardstage/core/placement/ColdAllowance.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ColdAllowance.java
@@ -5,10 +5,10 @@
  * it is cold. A token bucket whose burst is small, as the bound holds for each second.
  */
 final class ColdAllowance {
-  /** Kept below the declared rate, as two schedulers may each believe that they are in charge. */
-  private static final double SHARE_OF_RATE = 0.8;
+  /** Less than half, as two schedulers may each believe that they are in charge. */
+  private static final double SHARE_OF_RATE = 0.45;
 
-  private static final double BURST_REQUESTS = 2;
+  private static final double BURST_REQUESTS = 1;
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final double perSecond;
--- a/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
@@ -203,6 +203,36 @@
     assertThat(sentNanos, is(not(empty())));
   }
 
+  /** Two VMs that each believe to be in charge stay within one and a half times the rate. */
+  @Test
+  void twoSchedulersInChargeStayWithinTheRateTogether() {
+    ServiceScheduler other =
+        new ServiceScheduler(Scenes.spec(10), PlacementSettings.sharedBy(2), Scenes.roundTrips());
+    ImmutableList<UsableEndpoint> cold =
+        ImmutableList.of(
+            new UsableEndpoint(
+                Scenes.endpoint("cold", Scenes.NEAR_ZONE, 9), nowNanos + 3 * SECOND));
+    scheduler.onEndpoints(nowNanos, cold);
+    other.onEndpoints(nowNanos, cold);
+
+    List<Long> sentNanos = new ArrayList<>();
+    for (int i = 0; i < 300; i++) {
+      for (ServiceScheduler each : List.of(scheduler, other)) {
+        Optional<Decision> decision = each.offer(nowNanos, newAsk(READ, "object-" + i));
+        if (decision.isPresent() && decision.get() instanceof Decision.Placed placed) {
+          sentNanos.add(nowNanos);
+          each.release(nowNanos, placed, Scenes.end(UseEnd.Result.ANSWERED, MILLI));
+        }
+      }
+      nowNanos += 10 * MILLI;
+    }
+
+    for (long from : sentNanos) {
+      long inSecond = sentNanos.stream().filter(t -> t >= from && t < from + SECOND).count();
+      assertThat(inSecond, lessThanOrEqualTo(15L));
+    }
+  }
+
   @Test
   void coldEndpointIsLeftToTheSchedulerInCharge() {
     scheduler.setColdInCharge(endpoint -> false);
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -404,9 +404,16 @@
         case PeerMessage.ConfigAnnounce announce -> config.onAnnounce(from, announce);
         case PeerMessage.ConfigFetch fetch -> config.onFetch(from, fetch);
         case PeerMessage.ConfigObjects objects -> config.onObjects(from, objects);
+        case PeerMessage.RowsWanted wanted -> logNotUsed(from);
+        case PeerMessage.RowsKnown known -> logNotUsed(from);
       }
     }
 
+    /** Rows are passed on between VMs that have no manifests only. */
+    private void logNotUsed(Member from) {
+      EventLog.log(Event.BAD_FRAME, "vm", from.incarnation(), "why", "rows are not used here");
+    }
+
     private void onMembership(Member from, PeerMessage.OfMembership of) {
       run(membership.onMessage(clock.getAsLong(), from, of.message()));
       if (of.message() instanceof MemberMessage.Heartbeat heartbeat) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -6,6 +6,7 @@
 import io.activej.eventloop.Eventloop;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -51,6 +52,12 @@
   private static final long ANNOUNCE_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final long SILENT_PERIODS = 4;
 
+  /** Leaves time to tell the others' news within the shortest bound on endpoints that leave. */
+  private static final long ASK_PEERS_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** One of them may be cut off as well. */
+  private static final int ASKED_AT_ONCE = 2;
+
   /** A VM that has run for this long has heard of every region that still has VMs. */
   private static final long HEARD_OF_ALL_NANOS = TimeUnit.SECONDS.toNanos(6);
 
@@ -84,6 +91,8 @@
   private long listReadNanos = Long.MIN_VALUE / 2;
   private long announcedNanos = Long.MIN_VALUE / 2;
   private boolean announced;
+  private long askedPeersNanos = Long.MIN_VALUE / 2;
+  private int nextAsked;
   private long linksCheckedNanos = Long.MIN_VALUE / 2;
 
   /** Is told, on the control thread, what this VM believes. */
@@ -175,10 +184,38 @@
     if (register.onTick(nowNanos)) {
       publishEndpoints();
     }
+    askPeersForRows(nowNanos);
     readVmList(nowNanos);
     announceSelf(nowNanos);
   }
 
+  /** While the store can't be reached from here, asks one VM after the other what it has heard. */
+  private void askPeersForRows(long nowNanos) {
+    boolean cutOff = !operatorRows.storeAnswers() || !endpointRows.storeAnswers();
+    if (!cutOff || nowNanos - askedPeersNanos < ASK_PEERS_NANOS) {
+      return;
+    }
+    askedPeersNanos = nowNanos;
+    List<Member> others =
+        memberView.get().statuses().stream()
+            .filter(MemberStatus::isAlive)
+            .map(MemberStatus::member)
+            .filter(member -> !member.vm().equals(settings.vm()))
+            .toList();
+    if (others.isEmpty()) {
+      return;
+    }
+    for (int i = 0; i < ASKED_AT_ONCE; i++) {
+      Member peer = others.get(Math.floorMod(nextAsked++, others.size()));
+      ask(peer, Deployment.Feed.OPERATOR, operatorRows);
+      ask(peer, Deployment.Feed.ENDPOINTS, endpointRows);
+    }
+  }
+
+  private void ask(Member peer, Deployment.Feed feed, RowFollower follower) {
+    network.send(peer, new PeerMessage.RowsWanted(feed.name(), follower.version()));
+  }
+
   private void readVmList(long nowNanos) {
     boolean alone = memberView.get().statuses().size() <= 1;
     if (nowNanos - listReadNanos < LIST_NANOS || !alone) {
@@ -457,10 +494,44 @@
         case PeerMessage.Hello hello -> onHello(hello.member());
         case PeerMessage.OfMembership of ->
             run(membership.onMessage(clock.getAsLong(), from, of.message()));
+        case PeerMessage.RowsWanted wanted -> onRowsWanted(from, wanted);
+        case PeerMessage.RowsKnown known -> onRowsKnown(known);
         default -> EventLog.log(Event.BAD_FRAME, "vm", from.incarnation(), "why", "not used here");
       }
     }
 
+    private void onRowsWanted(Member from, PeerMessage.RowsWanted wanted) {
+      RowFollower follower = followerOf(wanted.table());
+      if (!follower.isWholeKnown() || follower.version() <= wanted.afterVersion()) {
+        return;
+      }
+      List<PeerMessage.KnownRow> rows =
+          follower.changedSince(wanted.afterVersion()).stream()
+              .map(
+                  row ->
+                      new PeerMessage.KnownRow(
+                          row.key(),
+                          row.version(),
+                          row.value().map(Base64.getEncoder()::encodeToString)))
+              .toList();
+      network.send(from, new PeerMessage.RowsKnown(wanted.table(), follower.version(), rows));
+    }
+
+    private void onRowsKnown(PeerMessage.RowsKnown known) {
+      List<StoredRow> rows =
+          known.rows().stream()
+              .map(
+                  row ->
+                      new StoredRow(
+                          row.key(), row.version(), row.value().map(Base64.getDecoder()::decode)))
+              .toList();
+      followerOf(known.table()).onPeerRows(new RowStore.Rows(rows, known.version()));
+    }
+
+    private RowFollower followerOf(String table) {
+      return table.equals(Deployment.Feed.OPERATOR.name()) ? operatorRows : endpointRows;
+    }
+
     @Override
     public long silentAfterNanos(Member member) {
       long periodNanos =
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -14,6 +14,8 @@
   START_FAILED(4, Level.ERROR),
   /** A graceful stop took too long and was cut short. */
   STOP_CUT_SHORT(5, Level.ERROR),
+  /** The settings were read anew. */
+  SETTINGS_RELOADED(6, Level.INFO),
   /** A manifest is in force. */
   MANIFEST_IN_FORCE(10, Level.INFO),
   /** A manifest was accepted. */
@@ -24,6 +26,12 @@
   MANIFEST_FETCH_FAILED(13, Level.WARN),
   /** A fetched manifest is not valid. */
   MANIFEST_INVALID(14, Level.ERROR),
+  /** A version of the routes is in force. */
+  CONFIG_IN_FORCE(15, Level.INFO),
+  /** A row of the platform's store can't be read. */
+  ROW_UNREADABLE(16, Level.WARN),
+  /** The zones to evacuate have changed. */
+  EVACUATIONS_CHANGED(17, Level.INFO),
   /** The platform does not answer. */
   PLATFORM_LOST(20, Level.WARN),
   /** The platform answers again. */
@@ -52,14 +60,6 @@
   ENDPOINT_BACK(51, Level.INFO),
   /** An endpoint has registered itself, or started anew. */
   ENDPOINT_REGISTERED(52, Level.INFO),
-  /** A version of the routes is in force. */
-  CONFIG_IN_FORCE(15, Level.INFO),
-  /** A row of the platform's store can't be read. */
-  ROW_UNREADABLE(16, Level.WARN),
-  /** The zones to evacuate have changed. */
-  EVACUATIONS_CHANGED(17, Level.INFO),
-  /** The settings were read anew. */
-  SETTINGS_RELOADED(6, Level.INFO),
   /** A request has its answer. */
   REQUEST_ENDED(60, Level.INFO),
   /** An unexpected exception was caught on the control thread. */
--- a/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
@@ -21,6 +21,8 @@
 import org.mustardstage.schema.generated.WireOwnershipAdvertised;
 import org.mustardstage.schema.generated.WireOwnershipConfirmed;
 import org.mustardstage.schema.generated.WirePermitsWanted;
+import org.mustardstage.schema.generated.WireRowsKnown;
+import org.mustardstage.schema.generated.WireRowsWanted;
 import org.mustardstage.schema.generated.WireStopAnnounced;
 
 /** The kinds of messages and their numbers in a frame. A number is never used again. */
@@ -44,7 +46,9 @@
   OWNERSHIP_ADVERTISED(17, WireOwnershipAdvertised.class),
   HANDOVER(18, WireHandover.class),
   HANDOVER_RECEIVED(19, WireHandoverReceived.class),
-  STOP_ANNOUNCED(20, WireStopAnnounced.class);
+  STOP_ANNOUNCED(20, WireStopAnnounced.class),
+  ROWS_WANTED(21, WireRowsWanted.class),
+  ROWS_KNOWN(22, WireRowsKnown.class);
 
   private final int number;
   private final Class<?> payloadClass;
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -24,6 +24,7 @@
 import org.mustardstage.schema.generated.WireHandoverReceived;
 import org.mustardstage.schema.generated.WireHeartbeat;
 import org.mustardstage.schema.generated.WireHello;
+import org.mustardstage.schema.generated.WireKnownRow;
 import org.mustardstage.schema.generated.WireLeaseRenewal;
 import org.mustardstage.schema.generated.WireLeaseRenewed;
 import org.mustardstage.schema.generated.WireLeaseRequest;
@@ -33,6 +34,8 @@
 import org.mustardstage.schema.generated.WireOwnershipAdvertised;
 import org.mustardstage.schema.generated.WireOwnershipConfirmed;
 import org.mustardstage.schema.generated.WirePermitsWanted;
+import org.mustardstage.schema.generated.WireRowsKnown;
+import org.mustardstage.schema.generated.WireRowsWanted;
 import org.mustardstage.schema.generated.WireStopAnnounced;
 
 /**
@@ -79,12 +82,31 @@
               .withVersion(announce.version().number())
               .withRootHash(announce.rootHash());
       case PeerMessage.ConfigFetch fetch -> new WireConfigFetch().withHashes(fetch.hashes());
+      case PeerMessage.RowsWanted wanted ->
+          new WireRowsWanted().withTable(wanted.table()).withAfterVersion(wanted.afterVersion());
+      case PeerMessage.RowsKnown known ->
+          new WireRowsKnown()
+              .withTable(known.table())
+              .withVersion(known.version())
+              .withRows(known.rows().stream().map(PeerCodec::toWire).toList());
       case PeerMessage.ConfigObjects objects ->
           new WireConfigObjects()
               .withObjects(objects.objects().stream().map(PeerCodec::toWire).toList());
     };
   }
 
+  private static WireKnownRow toWire(PeerMessage.KnownRow row) {
+    return new WireKnownRow()
+        .withKey(row.key())
+        .withVersion(row.version())
+        .withValue(row.value().orElse(null));
+  }
+
+  private static PeerMessage.KnownRow fromWire(WireKnownRow row) {
+    return new PeerMessage.KnownRow(
+        row.getKey(), row.getVersion(), Optional.ofNullable(row.getValue()));
+  }
+
   private static WireConfigObject toWire(PeerMessage.ConfigObject object) {
     return new WireConfigObject()
         .withHash(object.hash())
@@ -150,6 +172,10 @@
       case WireHello w -> new PeerMessage.Hello(MemberWire.fromWire(w.getMember()));
       case WireConfigAnnounce w ->
           new PeerMessage.ConfigAnnounce(new ConfigVersion(w.getVersion()), w.getRootHash());
+      case WireRowsWanted w -> new PeerMessage.RowsWanted(w.getTable(), w.getAfterVersion());
+      case WireRowsKnown w ->
+          new PeerMessage.RowsKnown(
+              w.getTable(), w.getVersion(), w.getRows().stream().map(PeerCodec::fromWire).toList());
       case WireConfigFetch w -> new PeerMessage.ConfigFetch(w.getHashes());
       case WireConfigObjects w -> fromWire(w);
       case WireHeartbeat w -> new PeerMessage.OfMembership(MemberWire.fromWire(w));
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
@@ -38,6 +38,32 @@
     }
   }
 
+  /** Asks for the rows of {@code table} that changed after a version of the platform's store. */
+  record RowsWanted(String table, long afterVersion) implements PeerMessage {}
+
+  /**
+   * Carries the rows that were asked for.
+   *
+   * @param table the table
+   * @param version the version up to which the sender knows all rows
+   * @param rows the rows that changed after the version asked for
+   */
+  record RowsKnown(String table, long version, List<KnownRow> rows) implements PeerMessage {
+    /** Copies the list. */
+    public RowsKnown {
+      rows = ImmutableList.copyOf(rows);
+    }
+  }
+
+  /**
+   * A row of the platform's store.
+   *
+   * @param key its key
+   * @param version the version that last changed it
+   * @param value its bytes in Base64; empty when it was removed
+   */
+  record KnownRow(String key, long version, Optional<String> value) {}
+
   /** An object; without content when the sender does not have it. */
   record ConfigObject(String hash, Optional<String> content) {}
 }
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
@@ -63,7 +63,14 @@
         new PeerMessage.ConfigObjects(
             List.of(
                 new PeerMessage.ConfigObject("abc", Optional.of("{}")),
-                new PeerMessage.ConfigObject("def", Optional.empty()))));
+                new PeerMessage.ConfigObject("def", Optional.empty()))),
+        new PeerMessage.RowsWanted("ENDPOINTS", 12),
+        new PeerMessage.RowsKnown(
+            "ENDPOINTS",
+            14,
+            List.of(
+                new PeerMessage.KnownRow("a", 13, Optional.of("AAE=")),
+                new PeerMessage.KnownRow("b", 14, Optional.empty()))));
   }
 
   private static Stream<PeerMessage> permitMessages() {
