--- /dev/null
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -0,0 +1,271 @@
+package org.mustardstage.entry.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.mustardstage.core.gateway.CallerLimits;
+import org.mustardstage.core.gateway.GatewayConfig;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.gateway.Rule;
+import org.mustardstage.core.gateway.ServiceSpec;
+import org.mustardstage.core.gateway.WeightedService;
+import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.member.Member;
+import org.mustardstage.core.member.MemberView;
+import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.entry.platform.PlatformFailure;
+import org.mustardstage.entry.platform.VmList;
+
+/** The control threads of VMs that talk to each other on loopback. */
+@Timeout(60)
+class GatewayControlTest {
+  private static final ServiceName ORDERS = new ServiceName("orders");
+  private static final ZoneId ZONE = new ZoneId("north-a");
+  private static final RegionId REGION = new RegionId("north");
+
+  /** The store turns the second VM away; the zone's evacuation reaches it through the first. */
+  @Test
+  void vmThatTheStoreTurnsAwayLearnsFromAnother() throws Exception {
+    RecordedBeliefs beliefsOfFirst = new RecordedBeliefs();
+    RecordedBeliefs beliefsOfSecond = new RecordedBeliefs();
+    HostAndPort firstPeer = freeAddress();
+    FakeDeployment served = new FakeDeployment(new ServedRows());
+    GatewayControl first =
+        new GatewayControl(settings("vm-1", firstPeer, List.of()), served, 1, beliefsOfFirst);
+    GatewayControl second =
+        new GatewayControl(
+            settings("vm-2", freeAddress(), List.of(firstPeer)),
+            new FakeDeployment(new RefusedRows()),
+            1,
+            beliefsOfSecond);
+    first.start();
+    second.start();
+    try {
+      assertThat(beliefsOfSecond.configs.take().version(), is(new ConfigVersion(4)));
+      assertThat(beliefsOfSecond.awaitEndpoints(1).get(ORDERS), hasSize(1));
+
+      first.eventloop().execute(((ServedRows) served.rows)::evacuate);
+
+      assertThat(beliefsOfFirst.awaitEndpoints(0).get(ORDERS), hasSize(0));
+      assertThat(beliefsOfSecond.awaitEndpoints(0).get(ORDERS), hasSize(0));
+    } finally {
+      first.stop();
+      second.stop();
+    }
+  }
+
+  private static HostAndPort freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new HostAndPort("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  private static GatewaySettings settings(String vm, HostAndPort peer, List<HostAndPort> seeds)
+      throws IOException {
+    return new GatewaySettings(
+        new VmId(vm),
+        ZONE,
+        REGION,
+        ImmutableMap.of(ZONE, REGION),
+        freeAddress(),
+        freeAddress(),
+        Optional.empty(),
+        peer,
+        freeAddress(),
+        freeAddress(),
+        seeds,
+        1_000,
+        1_000,
+        0.2,
+        100,
+        "info");
+  }
+
+  private static final class RecordedBeliefs implements GatewayControl.Beliefs {
+    private final BlockingQueue<GatewayConfig> configs = new LinkedBlockingQueue<>();
+    private final BlockingQueue<ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>>>
+        endpoints = new LinkedBlockingQueue<>();
+
+    @Override
+    public void onConfig(GatewayConfig config) {
+      configs.add(config);
+    }
+
+    @Override
+    public void onEndpoints(ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> usable) {
+      endpoints.add(usable);
+    }
+
+    @Override
+    public void onMembers(MemberView view) {}
+
+    ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> awaitEndpoints(int count)
+        throws InterruptedException {
+      while (true) {
+        ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> usable = endpoints.take();
+        if (usable.getOrDefault(ORDERS, ImmutableList.of()).size() == count) {
+          return usable;
+        }
+      }
+    }
+  }
+
+  /** A store with a configuration and one endpoint, to which an evacuation is added. */
+  private static final class ServedRows implements RowStore {
+    private final SettablePromise<Either<PlatformFailure, Rows>> evacuation =
+        new SettablePromise<>();
+
+    @Override
+    public Promise<Either<PlatformFailure, Rows>> readAll(Deployment.Feed feed) {
+      StoredRow row =
+          switch (feed) {
+            case OPERATOR -> row("config", 3);
+            case ENDPOINTS -> row("i-1", 2);
+          };
+      return Promise.of(Either.right(new Rows(List.of(row), 5)));
+    }
+
+    @Override
+    public Promise<Either<PlatformFailure, Rows>> changes(
+        Deployment.Feed feed, long afterVersion, long waitMillis) {
+      boolean evacuates = feed == Deployment.Feed.OPERATOR && afterVersion == 5;
+      return evacuates ? evacuation : new SettablePromise<>();
+    }
+
+    void evacuate() {
+      evacuation.set(Either.right(new Rows(List.of(row("evacuate", 6)), 6)));
+    }
+
+    private static StoredRow row(String key, long version) {
+      return new StoredRow(key, version, Optional.of(key.getBytes(StandardCharsets.UTF_8)));
+    }
+  }
+
+  /** A store that turns this VM away. */
+  private static final class RefusedRows implements RowStore {
+    @Override
+    public Promise<Either<PlatformFailure, Rows>> readAll(Deployment.Feed feed) {
+      return Promise.of(Either.left(new PlatformFailure.Refused(503)));
+    }
+
+    @Override
+    public Promise<Either<PlatformFailure, Rows>> changes(
+        Deployment.Feed feed, long afterVersion, long waitMillis) {
+      return Promise.of(Either.left(new PlatformFailure.Refused(503)));
+    }
+  }
+
+  private static final class NoVmList implements VmList {
+    @Override
+    public Promise<Either<PlatformFailure, List<Member>>> read() {
+      return Promise.of(Either.left(new PlatformFailure.Refused(503)));
+    }
+
+    @Override
+    public Promise<Either<PlatformFailure, Void>> announce(Member self) {
+      return Promise.of(Either.left(new PlatformFailure.Refused(503)));
+    }
+  }
+
+  private static final class FakeDeployment implements Deployment {
+    private final RowStore rows;
+
+    FakeDeployment(RowStore rows) {
+      this.rows = rows;
+    }
+
+    @Override
+    public Dialect dialect() {
+      return new Dialect("Id", "Deadline", "Expected", "Seal", "Not-Run", "Load", "Object");
+    }
+
+    @Override
+    public RowStore rowStore(Eventloop eventloop) {
+      return rows;
+    }
+
+    @Override
+    public VmList vmList(Eventloop eventloop) {
+      return new NoVmList();
+    }
+
+    @Override
+    public Either<String, OperatorRow> readOperatorRow(String key, byte[] value) {
+      return Either.right(
+          key.equals("config")
+              ? new OperatorRow.Config(config())
+              : new OperatorRow.Evacuation(ZONE));
+    }
+
+    private static GatewayConfig config() {
+      Rule rule =
+          new Rule(
+              "all",
+              "/",
+              true,
+              300,
+              1,
+              false,
+              List.of(new WeightedService(ORDERS, 1)),
+              1_000,
+              2,
+              ImmutableSet.of());
+      return new GatewayConfig(
+          new ConfigVersion(4),
+          new CallerLimits(16_384, 1 << 20, 3_000, 15_000),
+          List.of(new ServiceSpec(ORDERS, "/health", 700, 3_000, 17)),
+          Map.of("a.example", List.of(rule)));
+    }
+
+    @Override
+    public Either<String, RegisteredEndpoint> readEndpoint(String key, byte[] value) {
+      return Either.right(
+          new RegisteredEndpoint(
+              new EndpointId(key),
+              ORDERS,
+              new HostAndPort("127.0.0.1", 1),
+              ZONE,
+              9,
+              /* draining= */ false,
+              0,
+              1));
+    }
+
+    @Override
+    public AsyncServlet readiness(Eventloop eventloop, GatewayStatus status) {
+      return request -> HttpResponse.ok200().toPromise();
+    }
+
+    @Override
+    public AsyncServlet directory(Eventloop eventloop, GatewayStatus status) {
+      return request -> HttpResponse.ok200().toPromise();
+    }
+  }
+}
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
@@ -264,6 +264,19 @@
     }
   }
 
+  @Test
+  void requestToASilentEndpointStaysWhileThereIsNoSecondOne() throws Exception {
+    publish(first);
+    first.script(
+        (request, socket) -> {
+          Thread.sleep(1_500);
+          FakeTarget.ok(request, socket, "late");
+        });
+
+    assertThat(get(LOOK).body(), is("late"));
+    assertThat(first.received(), hasSize(1));
+  }
+
   @Test
   void requestThatNothingCanTakeIsTurnedAwayAtOnce() throws Exception {
     publish();
