Free the slots of an endpoint that starts again under its id; remove what nothing uses

Cause: found in reading: requests of the run before were never given back, so each restart under the same id took their slots out of use.

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointRegister.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointRegister.java
@@ -142,9 +142,4 @@
   public Optional<RegisteredEndpoint> find(EndpointId id) {
     return Optional.ofNullable(entries.get(id)).map(entry -> entry.endpoint);
   }
-
-  /** Returns the number of entries. */
-  public int size() {
-    return entries.size();
-  }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointTrust.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointTrust.java
@@ -32,11 +32,6 @@
     return nowNanos - pausedUntilNanos >= 0 && !trialRuns;
   }
 
-  /** Returns whether the endpoint is paused or has yet to prove itself. */
-  boolean isOnTrial() {
-    return onTrial;
-  }
-
   /** Returns the share of the last requests that ended badly. */
   double badShare() {
     return badShare;
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointUse.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointUse.java
@@ -70,6 +70,7 @@
       sinceNanos = nowNanos;
       warm.clear();
       slowness = 1;
+      running = 0;
     }
     slots = newer.slots();
     endpoint = newer;
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -62,6 +62,9 @@
           .thenComparingLong(Ask::aimNanos)
           .thenComparingLong(Ask::id);
 
+  private static final Comparator<EndpointUse> BY_ID =
+      Comparator.comparing(use -> use.endpoint().id());
+
   private final RoundTrips roundTrips;
   private final WorkTimes workTimes = new WorkTimes();
   private final Map<EndpointId, EndpointUse> endpoints = new HashMap<>();
@@ -121,9 +124,6 @@
     }
   }
 
-  private static final Comparator<EndpointUse> BY_ID =
-      Comparator.comparing(use -> use.endpoint().id());
-
   /** Decides about a new ask: at once, or later when it has to wait for a slot. */
   public Optional<Decision> offer(long nowNanos, Ask ask) {
     if (usable.isEmpty()) {
--- a/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -274,6 +275,20 @@
     assertThat(placed, lessThanOrEqualTo(2));
   }
 
+  @Test
+  void restartUnderTheSameIdFreesTheSlots() {
+    scheduler.onEndpoints(
+        nowNanos, List.of(Scenes.usable(Scenes.endpoint("e", Scenes.NEAR_ZONE, 2, 1))));
+    List<Decision.Placed> lost = fill(2);
+
+    scheduler.onEndpoints(
+        nowNanos, List.of(Scenes.usable(Scenes.endpoint("e", Scenes.NEAR_ZONE, 2, 2))));
+    lost.forEach(
+        placed -> scheduler.release(nowNanos, placed, Scenes.end(UseEnd.Result.SPOILED, MILLI)));
+
+    assertThat(fill(2), hasSize(2));
+  }
+
   @Test
   void fullRegionSendsToAnotherOneThatAnswersInTime() {
     Rule slow = Scenes.rule("slow", 2, 1_000);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CallerExchange.java
@@ -1,6 +1,7 @@
 package org.mustardstage.entry.gateway;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Ints;
 import io.activej.http.HttpMethod;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
@@ -316,9 +317,9 @@
     if (parts.length != 3) {
       return Optional.empty();
     }
-    Integer runningCount = com.google.common.primitives.Ints.tryParse(parts[0].trim());
-    Integer waitingCount = com.google.common.primitives.Ints.tryParse(parts[1].trim());
-    Integer slots = com.google.common.primitives.Ints.tryParse(parts[2].trim());
+    Integer runningCount = Ints.tryParse(parts[0].trim());
+    Integer waitingCount = Ints.tryParse(parts[1].trim());
+    Integer slots = Ints.tryParse(parts[2].trim());
     if (runningCount == null || waitingCount == null || slots == null) {
       return Optional.empty();
     }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -219,9 +219,4 @@
       }
     }
   }
-
-  /** Returns the number of requests that wait for a slot. */
-  int waitingCount() {
-    return pending.size();
-  }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLink.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLink.java
@@ -1,5 +1,6 @@
 package org.mustardstage.entry.gateway;
 
+import com.google.common.primitives.Ints;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
@@ -8,6 +9,7 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -158,7 +160,7 @@
 
   private static boolean asksToClose(EndpointReply reply) {
     return reply.headers().all("Connection").stream()
-        .anyMatch(value -> value.toLowerCase(java.util.Locale.ROOT).contains("close"));
+        .anyMatch(value -> value.toLowerCase(Locale.ROOT).contains("close"));
   }
 
   private void noteKeepAlive(EndpointReply reply) {
@@ -173,7 +175,7 @@
     for (String part : keepAlive.split(",", -1)) {
       String text = part.trim();
       if (text.startsWith("timeout=")) {
-        Integer seconds = com.google.common.primitives.Ints.tryParse(text.substring(8));
+        Integer seconds = Ints.tryParse(text.substring(8));
         return Optional.ofNullable(seconds).map(s -> 1_000L * s);
       }
     }
