Pass on an endpoint's own failure when no other does better; unreachable endpoints cost no repeats

Cause: found in reading. A 500 of an endpoint was replaced by a 502 of ours when the second endpoint could not be had; a connection that was never made took from the shared allowance for sending again. Tests fail first.

--- a/core/src/main/java/org/mustardstage/core/placement/Ask.java
+++ b/core/src/main/java/org/mustardstage/core/placement/Ask.java
@@ -15,7 +15,7 @@
  * @param arrivedNanos when the request arrived
  * @param aimNanos until when an answer is in time
  * @param deadlineNanos until when an answer is of any use
- * @param tried the endpoints that it was sent to before
+ * @param tried the endpoints that are not to be chosen again
  */
 public record Ask(
     long id,
@@ -29,9 +29,4 @@
   public Ask {
     tried = ImmutableSet.copyOf(tried);
   }
-
-  /** Returns whether the request was sent to an endpoint before. */
-  public boolean isRepeat() {
-    return !tried.isEmpty();
-  }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CallerExchange.java
@@ -62,6 +62,9 @@
   private int unreachable;
   private boolean mayHaveRun;
 
+  /** An endpoint's failure that is passed on if no other endpoint does better. */
+  private Optional<ExchangeEnd.Answered> failedAnswer = Optional.empty();
+
   /** One send to one endpoint. */
   private final class Try {
     private final Decision.Placed placed;
@@ -131,7 +134,8 @@
                 request.arrivedNanos(),
                 aimNanos,
                 request.deadlineNanos(),
-                tried),
+                tried,
+                sent > 0),
             decision -> {
               decided[0] = true;
               onDecision(decision);
@@ -188,7 +192,9 @@
             request.service(),
             placed,
             new UseEnd(Result.ABANDONED, 0, Optional.empty(), Optional.empty()));
-        finish(new ExchangeEnd.NotRun("NO_LINK", SILENT_AFTER_AT_LEAST_MILLIS));
+        if (running.isEmpty()) {
+          finish(notRunOrUnknown("NO_LINK"));
+        }
         return;
       }
       link = created.get();
@@ -285,13 +291,15 @@
       mayHaveRun = true;
       return;
     }
+    ExchangeEnd.Answered answered = new ExchangeEnd.Answered(reply, current.placed.endpoint().id());
     if (failed && request.rule().idempotent() && maySendAgain()) {
       mayHaveRun = true;
+      failedAnswer = Optional.of(answered);
       askForEndpoint();
       return;
     }
     stopWork();
-    finish(new ExchangeEnd.Answered(reply, current.placed.endpoint().id()));
+    finish(answered);
   }
 
   private void giveBack(Try current) {
@@ -388,8 +396,11 @@
     running.clear();
   }
 
+  /** Ends the exchange; an endpoint's own failure is better than one made up here. */
   private void finish(ExchangeEnd result) {
     timeout.ifPresent(ScheduledRunnable::cancel);
-    end.trySet(result);
+    boolean noAnswer =
+        result instanceof ExchangeEnd.NotRun || result instanceof ExchangeEnd.Unknown;
+    end.trySet(noAnswer && failedAnswer.isPresent() ? failedAnswer.get() : result);
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -144,14 +144,14 @@
       onDecision.accept(new Decision.TurnedAway(ask, TurnAwayReason.NO_ENDPOINT, 0));
       return;
     }
-    if (ask.isRepeat()) {
+    if (request.sentBefore()) {
       if (!repeats(request.service()).tryRetry()) {
         long retryAfterMillis = scheduler.retryAfterMillis(clock.getAsLong(), ask);
         onDecision.accept(
             new Decision.TurnedAway(ask, TurnAwayReason.REPEATS_SPENT, retryAfterMillis));
         return;
       }
-    } else {
+    } else if (request.tried().isEmpty()) {
       repeats(request.service()).recordFirstAttempt();
     }
     Optional<Decision> decision = scheduler.offer(clock.getAsLong(), ask);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/PlaceRequest.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/PlaceRequest.java
@@ -16,7 +16,8 @@
  * @param arrivedNanos when it arrived
  * @param aimNanos until when an answer is in time
  * @param deadlineNanos until when an answer is of any use
- * @param tried the endpoints that it was sent to before
+ * @param tried the endpoints that are not to be chosen again
+ * @param sentBefore whether any endpoint may have received it before
  */
 record PlaceRequest(
     ServiceName service,
@@ -25,7 +26,8 @@
     long arrivedNanos,
     long aimNanos,
     long deadlineNanos,
-    Set<EndpointId> tried) {
+    Set<EndpointId> tried,
+    boolean sentBefore) {
   /** Copies the set. */
   PlaceRequest {
     tried = ImmutableSet.copyOf(tried);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
@@ -233,6 +233,29 @@
     assertThat(answer.body(), is("broken"));
   }
 
+  @Test
+  void failureOfAnEndpointIsPassedOnWhenNoOtherDoesBetter() throws Exception {
+    publish(first);
+    first.script(
+        (request, socket) ->
+            FakeTarget.answer(request, socket, "500 Broken", "X-Server-Seal: s\r\n", "broken"));
+
+    var answer = get(LOOK);
+
+    assertThat(answer.statusCode(), is(500));
+    assertThat(answer.body(), is("broken"));
+  }
+
+  @Test
+  void unreachableEndpointsDoNotUseUpTheRepeats() throws Exception {
+    first.close();
+    for (int i = 0; i < 200; i++) {
+      publish(second);
+      publish(first, second);
+      assertThat(post("/book/" + i, "x").statusCode(), is(200));
+    }
+  }
+
   @Test
   void timeoutOfTheRuleEndsARequest() throws Exception {
     publish(first);
