--- a/entry/src/main/java/org/mustardstage/entry/gateway/ReplyParser.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/ReplyParser.java
@@ -92,7 +92,7 @@
           case LENGTH -> takeBody();
           case CHUNKED -> takeChunks();
           case UNTIL_CLOSE -> {
-            bodyLeft = MAX_BODY_BYTES - body.size();
+            bodyLeft = (long) MAX_BODY_BYTES - body.size();
             takeBody();
             yield false;
           }
