Learn how likely an object is warm in each region; a paused endpoint hands on within its region

Cause: the first endpoint of an object in every region was believed warm, also where no request for it runs, so requests left a home with a short wait for an endpoint that had to warm the object up; and while a first endpoint was paused or cold its objects left the region instead of going to the next one there. Change: WarmOdds, learned from answers, by region; orders by region, the first that may serve.

--- a/core/src/main/java/org/mustardstage/core/placement/Decision.java
+++ b/core/src/main/java/org/mustardstage/core/placement/Decision.java
@@ -12,10 +12,11 @@
    *
    * @param ask the ask
    * @param endpoint the endpoint
-   * @param warm whether the endpoint is believed to have handled the object lately
+   * @param warmOdds how likely the endpoint has handled the object lately, from 0 to 1; 1 only if
+   *     this VM sent it there
    * @param expectedNanos how long the answer is expected to take
    */
-  record Placed(Ask ask, RegisteredEndpoint endpoint, boolean warm, long expectedNanos)
+  record Placed(Ask ask, RegisteredEndpoint endpoint, double warmOdds, long expectedNanos)
       implements Decision {}
 
   /**
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -8,6 +8,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
@@ -38,9 +39,6 @@
   /** What each place in an object's order of endpoints costs, as a share of the work. */
   private static final double ORDER_COST = 0.5;
 
-  /** How many endpoints of a region an object uses. */
-  private static final int PLACES = 1;
-
   /** What an answer after the objective costs, as a share of the objective. */
   private static final double LATE_COST = 0.5;
 
@@ -72,9 +70,10 @@
   private final RoundTrips roundTrips;
   private final RegionShares regionShares;
   private final WorkTimes workTimes = new WorkTimes();
+  private final WarmOdds warmOdds = new WarmOdds();
   private final Map<EndpointId, EndpointUse> endpoints = new HashMap<>();
   private final NavigableSet<Ask> waiting = new TreeSet<>(URGENT_FIRST);
-  private final Map<String, ObjectOrder> orders = new HashMap<>();
+  private final Map<String, ImmutableList<ImmutableList<EndpointUse>>> orders = new HashMap<>();
   private final RecentWaits recentWaits = new RecentWaits();
   private PlacementSettings settings;
   private ServiceSpec spec;
@@ -218,12 +217,18 @@
       return;
     }
     if (!use.isCold(nowNanos)) {
-      workTimes.observe(ask.rule(), placed.warm(), (long) (workNanos / use.slowness()));
+      boolean ranWarm =
+          workTimes.observe(
+              ask.rule(), placed.warmOdds() >= 0.5, (long) (workNanos / use.slowness()));
+      if (placed.warmOdds() < 1) {
+        warmOdds.observe(roundTrips.regionOf(use.endpoint().zone()), ranWarm);
+      }
       meanWorkNanos =
           meanWorkNanos == 0 ? workNanos : meanWorkNanos + 0.05 * (workNanos - meanWorkNanos);
     }
     use.observeSpeed(
-        (double) workNanos, workTimes.expectedNanos(ask.rule(), placed.warm()) * use.slowness());
+        (double) workNanos,
+        workTimes.expectedNanos(ask.rule(), placed.warmOdds()) * use.slowness());
     ask.object().ifPresent(object -> use.warm().handled(nowNanos, object));
   }
 
@@ -283,7 +288,7 @@
       use.warm().handled(nowNanos, ask.object().get());
     }
     return new Decision.Placed(
-        ask, use.endpoint(), candidate.warm(), (long) candidate.serviceNanos());
+        ask, use.endpoint(), candidate.warmOdds(), (long) candidate.serviceNanos());
   }
 
   private Decision turnAway(long nowNanos, Ask ask, TurnAwayReason reason) {
@@ -313,7 +318,7 @@
   private record Candidate(
       EndpointUse use,
       Optional<RegionId> otherRegion,
-      boolean warm,
+      double warmOdds,
       double waitNanos,
       double serviceNanos,
       double cost) {
@@ -343,13 +348,10 @@
   /**
    * Returns the endpoints in question for an ask. An object stays at its first endpoint in each
    * region: work on one that has to be warmed up takes several times as long, and pushes out what
-   * is warm there. Others are in question only when no first one may be used.
+   * is warm there. The next one of the region is in question only while the first may not be used.
    */
   private Choice choose(long nowNanos, Ask ask, double turnNanos) {
-    List<Candidate> candidates = candidates(nowNanos, ask, turnNanos, PLACES);
-    if (candidates.isEmpty()) {
-      candidates = candidates(nowNanos, ask, turnNanos, Integer.MAX_VALUE);
-    }
+    List<Candidate> candidates = candidates(nowNanos, ask, turnNanos);
     Optional<Candidate> wished = wished(nowNanos, ask, candidates);
     Optional<Candidate> owed = owed(nowNanos, ask, candidates);
     if (owed.isPresent()) {
@@ -403,17 +405,30 @@
     return candidates.stream().filter(wanted).min(Comparator.comparingDouble(Candidate::cost));
   }
 
-  private List<Candidate> candidates(long nowNanos, Ask ask, double turnNanos, int placesAllowed) {
+  /** Returns the first endpoint of each region that may serve an ask, or all without an object. */
+  private List<Candidate> candidates(long nowNanos, Ask ask, double turnNanos) {
     List<Candidate> candidates = new ArrayList<>();
-    ObjectOrder order = ask.object().map(this::orderOf).orElse(null);
-    for (int i = 0; i < usable.size(); i++) {
-      if (order != null && order.places()[i] >= placesAllowed) {
-        continue;
+    if (ask.object().isEmpty()) {
+      for (EndpointUse use : usable) {
+        if (mayServe(nowNanos, ask, use)) {
+          candidates.add(candidate(nowNanos, ask, use, Place.FIRST, turnNanos));
+        }
       }
-      EndpointUse use = usable.get(i);
-      if (mayServe(nowNanos, ask, use)) {
-        candidates.add(candidate(nowNanos, ask, use, order, i, turnNanos));
+      return candidates;
+    }
+    ImmutableList<ImmutableList<EndpointUse>> regions = orderOf(ask.object().get());
+    int detour = 0;
+    for (ImmutableList<EndpointUse> order : regions) {
+      boolean near = isNear(order.getFirst());
+      for (int place = 0; place < order.size(); place++) {
+        EndpointUse use = order.get(place);
+        if (mayServe(nowNanos, ask, use)) {
+          candidates.add(
+              candidate(nowNanos, ask, use, new Place(place, near ? 0 : detour), turnNanos));
+          break;
+        }
       }
+      detour += near ? 0 : 1;
     }
     return candidates;
   }
@@ -429,14 +444,9 @@
   }
 
   private Candidate candidate(
-      long nowNanos, Ask ask, EndpointUse use, ObjectOrder order, int index, double turnNanos) {
-    int place = order == null ? 0 : order.places()[index];
-    int detour = order == null ? 0 : order.detours()[index];
-    boolean warm =
-        order == null
-            || use.warm().holds(nowNanos, ask.object().orElseThrow())
-            || (order.places()[index] == 0 && use.isSettled(nowNanos));
-    double workNanos = workTimes.expectedNanos(ask.rule(), warm) * use.slowness();
+      long nowNanos, Ask ask, EndpointUse use, Place place, double turnNanos) {
+    double warmOdds = warmOdds(nowNanos, ask, use, place);
+    double workNanos = workTimes.expectedNanos(ask.rule(), warmOdds) * use.slowness();
     long wayNanos = roundTrips.nanosTo(use.endpoint().zone());
     double free = use.freeSlots(nowNanos);
     double slotNanos = (1 - free) * Math.max(workNanos, meanWorkNanos) / use.slots();
@@ -449,10 +459,18 @@
             + wayNanos
             + workNanos
             + distanceCost(use)
-            + (place + detour) * ORDER_COST * workNanos
+            + (place.inRegion() + place.detour()) * ORDER_COST * workNanos
             + use.trust().badShare() * aimLengthNanos
             + (finishNanos > ask.aimNanos() ? LATE_COST * aimLengthNanos : 0);
-    return new Candidate(use, otherRegionOf(use), warm, waitNanos, serviceNanos, cost);
+    return new Candidate(use, otherRegionOf(use), warmOdds, waitNanos, serviceNanos, cost);
+  }
+
+  private double warmOdds(long nowNanos, Ask ask, EndpointUse use, Place place) {
+    if (ask.object().isEmpty() || use.warm().holds(nowNanos, ask.object().get())) {
+      return 1;
+    }
+    boolean othersMayHaveAsked = place.inRegion() == 0 && use.isSettled(nowNanos);
+    return othersMayHaveAsked ? warmOdds.in(roundTrips.regionOf(use.endpoint().zone())) : 0;
   }
 
   private Optional<RegionId> otherRegionOf(EndpointUse use) {
@@ -468,46 +486,45 @@
   }
 
   /**
-   * The order in which endpoints are chosen for an object.
+   * Where an endpoint stands in an object's order.
    *
-   * @param places the place of each usable endpoint in its region, from 0; the first one handles
-   *     the object for the callers of the region, and so probably has it warm
-   * @param detours for endpoints of other regions, how many other regions the object goes to before
-   *     this one: it is warmed up in as few regions as possible
+   * @param inRegion its place among the endpoints of its region, from 0; the first one handles the
+   *     object for the callers of the region, and so probably has it warm
+   * @param detour how many other regions the object goes to before this one: it is warmed up in as
+   *     few regions as possible
    */
-  @SuppressWarnings("ArrayRecordComponent")
-  private record ObjectOrder(int[] places, int[] detours) {}
+  private record Place(int inRegion, int detour) {
+    private static final Place FIRST = new Place(0, 0);
+  }
 
-  private ObjectOrder orderOf(String object) {
+  /** Returns the endpoints of each region in the order in which an object uses them. */
+  private ImmutableList<ImmutableList<EndpointUse>> orderOf(String object) {
     if (orders.size() > MAX_ORDERS) {
       orders.clear();
     }
     return orders.computeIfAbsent(object, this::computeOrder);
   }
 
-  private ObjectOrder computeOrder(String object) {
-    int count = usable.size();
-    List<Integer> byHash = new ArrayList<>(count);
-    long[] hashes = new long[count];
-    for (int i = 0; i < count; i++) {
-      byHash.add(i);
-      hashes[i] =
+  private ImmutableList<ImmutableList<EndpointUse>> computeOrder(String object) {
+    Map<EndpointUse, Long> hashes = new HashMap<>();
+    for (EndpointUse use : usable) {
+      hashes.put(
+          use,
           Hashing.murmur3_128()
-              .hashString(object + "/" + usable.get(i).endpoint().id(), StandardCharsets.UTF_8)
-              .asLong();
-    }
-    byHash.sort(Comparator.comparingLong(i -> hashes[i]));
-    int[] places = new int[count];
-    int[] detours = new int[count];
-    Map<RegionId, Integer> next = new HashMap<>();
-    Map<RegionId, Integer> otherRegions = new HashMap<>();
-    for (int i : byHash) {
-      RegionId region = roundTrips.regionOf(usable.get(i).endpoint().zone());
-      places[i] = next.merge(region, 1, Integer::sum) - 1;
-      if (!isNear(usable.get(i))) {
-        detours[i] = otherRegions.computeIfAbsent(region, key -> otherRegions.size());
-      }
+              .hashString(object + "/" + use.endpoint().id(), StandardCharsets.UTF_8)
+              .asLong());
     }
-    return new ObjectOrder(places, detours);
+    Map<RegionId, List<EndpointUse>> byRegion = new LinkedHashMap<>();
+    usable.stream()
+        .sorted(Comparator.comparing(hashes::get))
+        .forEach(
+            use ->
+                byRegion
+                    .computeIfAbsent(
+                        roundTrips.regionOf(use.endpoint().zone()), region -> new ArrayList<>())
+                    .add(use));
+    return byRegion.values().stream()
+        .map(ImmutableList::copyOf)
+        .collect(ImmutableList.toImmutableList());
   }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/WorkTimes.java
+++ b/core/src/main/java/org/mustardstage/core/placement/WorkTimes.java
@@ -36,23 +36,29 @@
 
   /**
    * Takes in how long a request ran. Once both times are known, it counts for the one that it is
-   * nearer to, as {@code believedWarm} is a guess.
+   * nearer to, as {@code believedWarm} is a guess. Returns which one that was.
    */
-  void observe(Rule rule, boolean believedWarm, long nanos) {
+  boolean observe(Rule rule, boolean believedWarm, long nanos) {
     Estimate estimate = byRule.computeIfAbsent(rule.name(), name -> new Estimate());
-    if (estimate.isWarm(believedWarm, nanos)) {
+    boolean warm = estimate.isWarm(believedWarm, nanos);
+    if (warm) {
       estimate.warmNanos = mix(estimate.warmNanos, nanos);
     } else {
       estimate.coldNanos = mix(estimate.coldNanos, nanos);
     }
+    return warm;
   }
 
   private static double mix(double before, long sample) {
     return before == 0 ? sample : before + SAMPLE_WEIGHT * (sample - before);
   }
 
-  /** Returns how long a request of {@code rule} is expected to run. */
-  double expectedNanos(Rule rule, boolean warm) {
+  /** Returns how long a request of {@code rule} is expected to run, warm by {@code warmOdds}. */
+  double expectedNanos(Rule rule, double warmOdds) {
+    return warmOdds * expectedNanos(rule, true) + (1 - warmOdds) * expectedNanos(rule, false);
+  }
+
+  private double expectedNanos(Rule rule, boolean warm) {
     Estimate estimate = byRule.get(rule.name());
     double unseen = UNSEEN_SHARE_OF_AIM * rule.aimMillis() * NANOS_PER_MILLI;
     if (estimate == null) {
--- a/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
@@ -319,6 +319,24 @@
     assertThat(zones, contains("north-a", "north-a", "south-a"));
   }
 
+  /** An endpoint that may not be sent work hands its objects to the next one of its region. */
+  @Test
+  void pausedEndpointHandsItsObjectsToTheNextOneOfTheRegion() {
+    scheduler.onEndpoints(
+        nowNanos,
+        ImmutableList.<UsableEndpoint>builder()
+            .addAll(Scenes.endpoints(Scenes.NEAR_ZONE, 3, 9))
+            .addAll(Scenes.endpoints(Scenes.FAR_ZONE, 3, 9))
+            .build());
+    Decision.Placed first = place(READ, "roll-7");
+    scheduler.release(nowNanos, first, Scenes.end(UseEnd.Result.UNREACHABLE, MILLI));
+
+    Decision.Placed second = place(READ, "roll-7");
+
+    assertThat(second.endpoint().id(), is(not(first.endpoint().id())));
+    assertThat(second.endpoint().zone(), is(Scenes.NEAR_ZONE));
+  }
+
   private void teachWorkNanos(long nanos) {
     scheduler.onEndpoints(nowNanos, Scenes.endpoints(Scenes.NEAR_ZONE, 1, 2));
     for (int i = 0; i < 40; i++) {
