Two VMs of a region read the store and pass on what changes; rows that say nothing new are no change

Ruled out: one reader a zone (readers grow with zones, and a zone's loss takes its only reader). Change: RowFollower makes no calls while a reader is heard of; after 1.5 s of silence it reads by itself, so that news is at most 2 s old (bounds on leaving endpoints and on configurations: 2.5 s). A gap in the versions is asked for. Tests replay the loss of the reader, of a message, of the store for some.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -6,7 +6,9 @@
 import io.activej.eventloop.Eventloop;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.Base64;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +33,7 @@
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.Membership;
 import org.mustardstage.core.member.MembershipSettings;
+import org.mustardstage.core.member.Representatives;
 import org.mustardstage.core.placement.EndpointRegister;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
@@ -64,8 +67,11 @@
   /** A change of what operators want is told at once; a silent connection shows after this time. */
   private static final RowFollower.Pace OPERATOR_PACE = new RowFollower.Pace(4_000, 50);
 
-  /** Endpoints write all the time; asking twice within the shortest drain time is enough. */
-  private static final RowFollower.Pace ENDPOINT_PACE = new RowFollower.Pace(1_000, 1_000);
+  /** Endpoints write all the time; others are told twice a second that the reader still reads. */
+  private static final RowFollower.Pace ENDPOINT_PACE = new RowFollower.Pace(500, 500);
+
+  /** How many VMs of a region read the store and pass on what changes; one of them may fail. */
+  private static final int READERS_OF_REGION = 2;
 
   private final GatewaySettings settings;
   private final Deployment deployment;
@@ -77,6 +83,7 @@
   private final VmList vmList;
   private final RowFollower operatorRows;
   private final RowFollower endpointRows;
+  private final Map<Deployment.Feed, Long> passedOnVersions = new EnumMap<>(Deployment.Feed.class);
   private final long createdNanos = System.nanoTime();
   private final EndpointRegister register = new EndpointRegister();
   private final Beliefs beliefs;
@@ -134,10 +141,20 @@
     RowFollower.Timer timer = (delayMillis, task) -> eventloop.delay(delayMillis, task);
     this.operatorRows =
         new RowFollower(
-            store, Deployment.Feed.OPERATOR, OPERATOR_PACE, timer, new OperatorListener());
+            store,
+            Deployment.Feed.OPERATOR,
+            OPERATOR_PACE,
+            timer,
+            row -> row.value().map(ByteBuffer::wrap),
+            new OperatorListener());
     this.endpointRows =
         new RowFollower(
-            store, Deployment.Feed.ENDPOINTS, ENDPOINT_PACE, timer, new EndpointListener());
+            store,
+            Deployment.Feed.ENDPOINTS,
+            ENDPOINT_PACE,
+            timer,
+            this::readEndpoint,
+            new EndpointListener());
   }
 
   void start() throws IOException {
@@ -184,11 +201,63 @@
     if (register.onTick(nowNanos)) {
       publishEndpoints();
     }
+    chooseReaders(nowNanos);
+    operatorRows.onTick(nowNanos);
+    endpointRows.onTick(nowNanos);
     askPeersForRows(nowNanos);
     readVmList(nowNanos);
     announceSelf(nowNanos);
   }
 
+  private void chooseReaders(long nowNanos) {
+    boolean isReader = leaving || isReader(self, nearVms());
+    operatorRows.setReader(nowNanos, isReader);
+    endpointRows.setReader(nowNanos, isReader);
+  }
+
+  private static boolean isReader(Member member, List<Member> near) {
+    return Representatives.isAmongFirst(READERS_OF_REGION, "store", member, near);
+  }
+
+  /** Returns the VMs of the own region that are believed alive and stay. */
+  private ImmutableList<Member> nearVms() {
+    return memberView.get().statuses().stream()
+        .filter(MemberStatus::takesCallers)
+        .map(MemberStatus::member)
+        .filter(member -> member.region().equals(self.region()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Passes on what the store has told this VM, or that nothing has changed, to those nearby. */
+  private void passOn(Deployment.Feed feed, RowFollower follower) {
+    ImmutableList<Member> near = nearVms();
+    if (leaving || !isReader(self, near)) {
+      return;
+    }
+    long afterVersion = passedOnVersions.getOrDefault(feed, 0L);
+    passedOnVersions.put(feed, follower.version());
+    PeerMessage news = known(feed, follower, afterVersion, /* current= */ true);
+    for (Member member : near) {
+      if (!member.vm().equals(settings.vm()) && !isReader(member, near)) {
+        network.send(member, news);
+      }
+    }
+  }
+
+  private static PeerMessage known(
+      Deployment.Feed feed, RowFollower follower, long afterVersion, boolean current) {
+    List<PeerMessage.KnownRow> rows =
+        follower.changedSince(afterVersion).stream()
+            .map(
+                row ->
+                    new PeerMessage.KnownRow(
+                        row.key(),
+                        row.version(),
+                        row.value().map(Base64.getEncoder()::encodeToString)))
+            .toList();
+    return new PeerMessage.RowsKnown(feed.name(), afterVersion, follower.version(), current, rows);
+  }
+
   /** While the store can't be reached from here, asks one VM after the other what it has heard. */
   private void askPeersForRows(long nowNanos) {
     boolean cutOff = !operatorRows.storeAnswers() || !endpointRows.storeAnswers();
@@ -391,10 +460,7 @@
   private void onEndpointRows(List<StoredRow> changed) {
     long nowNanos = clock.getAsLong();
     for (StoredRow row : changed) {
-      Either<String, RegisteredEndpoint> read =
-          row.value().isEmpty()
-              ? Either.left("the entry is gone")
-              : deployment.readEndpoint(row.key(), row.value().get());
+      Either<String, RegisteredEndpoint> read = readEndpoint(row);
       if (read.isRight()) {
         if (register.onEntry(nowNanos, read.get())) {
           RegisteredEndpoint endpoint = read.get();
@@ -421,6 +487,12 @@
     publishEndpoints();
   }
 
+  private Either<String, RegisteredEndpoint> readEndpoint(StoredRow row) {
+    return row.value().isEmpty()
+        ? Either.left("the entry is gone")
+        : deployment.readEndpoint(row.key(), row.value().get());
+  }
+
   private void removeEndpoint(long nowNanos, StoredRow row, String why) {
     EndpointId id;
     try {
@@ -453,6 +525,11 @@
     public void onStoreAnswers(boolean answers, Optional<PlatformFailure> failure) {
       logStore(Deployment.Feed.OPERATOR, answers, failure);
     }
+
+    @Override
+    public void onRead() {
+      passOn(Deployment.Feed.OPERATOR, operatorRows);
+    }
   }
 
   private final class EndpointListener implements RowFollower.Listener {
@@ -469,6 +546,11 @@
       }
       logStore(Deployment.Feed.ENDPOINTS, answers, failure);
     }
+
+    @Override
+    public void onRead() {
+      passOn(Deployment.Feed.ENDPOINTS, endpointRows);
+    }
   }
 
   private static void logStore(
@@ -495,7 +577,7 @@
         case PeerMessage.OfMembership of ->
             run(membership.onMessage(clock.getAsLong(), from, of.message()));
         case PeerMessage.RowsWanted wanted -> onRowsWanted(from, wanted);
-        case PeerMessage.RowsKnown known -> onRowsKnown(known);
+        case PeerMessage.RowsKnown known -> onRowsKnown(from, known);
         default -> EventLog.log(Event.BAD_FRAME, "vm", from.incarnation(), "why", "not used here");
       }
     }
@@ -505,19 +587,12 @@
       if (!follower.isWholeKnown() || follower.version() <= wanted.afterVersion()) {
         return;
       }
-      List<PeerMessage.KnownRow> rows =
-          follower.changedSince(wanted.afterVersion()).stream()
-              .map(
-                  row ->
-                      new PeerMessage.KnownRow(
-                          row.key(),
-                          row.version(),
-                          row.value().map(Base64.getEncoder()::encodeToString)))
-              .toList();
-      network.send(from, new PeerMessage.RowsKnown(wanted.table(), follower.version(), rows));
+      network.send(
+          from,
+          known(feedOf(wanted.table()), follower, wanted.afterVersion(), /* current= */ false));
     }
 
-    private void onRowsKnown(PeerMessage.RowsKnown known) {
+    private void onRowsKnown(Member from, PeerMessage.RowsKnown known) {
       List<StoredRow> rows =
           known.rows().stream()
               .map(
@@ -525,11 +600,26 @@
                       new StoredRow(
                           row.key(), row.version(), row.value().map(Base64.getDecoder()::decode)))
               .toList();
-      followerOf(known.table()).onPeerRows(new RowStore.Rows(rows, known.version()));
+      RowFollower follower = followerOf(known.table());
+      boolean complete =
+          follower.onPeerRows(
+              clock.getAsLong(),
+              known.afterVersion(),
+              new RowStore.Rows(rows, known.version()),
+              known.current());
+      if (!complete) {
+        ask(from, feedOf(known.table()), follower);
+      }
+    }
+
+    private Deployment.Feed feedOf(String table) {
+      return table.equals(Deployment.Feed.OPERATOR.name())
+          ? Deployment.Feed.OPERATOR
+          : Deployment.Feed.ENDPOINTS;
     }
 
     private RowFollower followerOf(String table) {
-      return table.equals(Deployment.Feed.OPERATOR.name()) ? operatorRows : endpointRows;
+      return feedOf(table) == Deployment.Feed.OPERATOR ? operatorRows : endpointRows;
     }
 
     @Override
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RowFollower.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RowFollower.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.mustardstage.entry.gateway.RowStore.Rows;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
 import org.mustardstage.entry.platform.PlatformFailure;
@@ -16,17 +18,30 @@
  * Keeps a copy of one table of the platform's store up to date. It reads the table once, then
  * follows its changes, and reads it again when the store has dropped its history. Nothing in the
  * copy ever goes back to an older version, even if the store answers from the past.
+ *
+ * <p>Where another VM reads the store and passes on what changes, this one makes no calls, until it
+ * has heard nothing for a while. Rows that only say that their writer is alive are not passed on.
  */
 final class RowFollower {
   private static final long FIRST_RETRY_MILLIS = 250;
   private static final long LAST_RETRY_MILLIS = 500;
 
+  /** VMs that only stand in for the reader ask less often: its next success reaches them all. */
+  private static final long STAND_IN_RETRY_MILLIS = 2_000;
+
+  /** Three times the longest pause between two answers to a reader that has not failed. */
+  private static final long UNHEARD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
   private final RowStore store;
   private final Deployment.Feed table;
   private final Pace pace;
   private final Timer timer;
   private final Listener listener;
-  private final Map<String, StoredRow> rows = new HashMap<>();
+  private final Function<StoredRow, Object> meaning;
+  private final Map<String, Held> rows = new HashMap<>();
+  private boolean reader = true;
+  private boolean due;
+  private long heardNanos;
   private long version;
   private boolean wholeKnown;
   private boolean readAllNext = true;
@@ -44,6 +59,15 @@
    */
   record Pace(long waitMillis, long gapMillis) {}
 
+  /**
+   * A row that is held.
+   *
+   * @param row the newest version of it
+   * @param meaning what it says, apart from that its writer is alive
+   * @param changedVersion the version that last changed what it says, as far as is known here
+   */
+  private record Held(StoredRow row, Object meaning, long changedVersion) {}
+
   /** Runs tasks later on the thread of the follower. */
   interface Timer {
     /** Runs {@code task} after {@code delayMillis}. */
@@ -57,9 +81,24 @@
 
     /** The store answers again, or has stopped to. */
     void onStoreAnswers(boolean answers, Optional<PlatformFailure> failure);
+
+    /** The store has answered a call of this VM. */
+    void onRead();
   }
 
-  RowFollower(RowStore store, Deployment.Feed table, Pace pace, Timer timer, Listener listener) {
+  /**
+   * Creates a follower that knows nothing.
+   *
+   * @param meaning what a row says; rows that say the same as before are no change
+   */
+  RowFollower(
+      RowStore store,
+      Deployment.Feed table,
+      Pace pace,
+      Timer timer,
+      Function<StoredRow, Object> meaning,
+      Listener listener) {
+    this.meaning = meaning;
     this.store = store;
     this.table = table;
     this.pace = pace;
@@ -93,19 +132,56 @@
   /** Returns the rows that changed after {@code since}, those that were removed included. */
   ImmutableList<StoredRow> changedSince(long since) {
     return rows.values().stream()
-        .filter(row -> row.version() > since)
+        .filter(held -> held.changedVersion() > since)
+        .map(Held::row)
         .collect(ImmutableList.toImmutableList());
   }
 
-  /** Takes in what another VM knows; used while the store can't be reached from here. */
-  void onPeerRows(Rows known) {
-    if (known.version() <= version) {
+  /** Sets whether this VM reads the store, or another one does and passes on what changes. */
+  void setReader(long nowNanos, boolean isReader) {
+    if (reader == isReader) {
       return;
     }
+    reader = isReader;
+    heardNanos = nowNanos;
+    if (reader && due) {
+      call();
+    }
+  }
+
+  /** Stands in for the reader if nothing was heard of it. */
+  void onTick(long nowNanos) {
+    if (!reader && due && nowNanos - heardNanos > UNHEARD_NANOS) {
+      call();
+    }
+  }
+
+  /**
+   * Takes in what another VM knows; returns whether it is complete, so that nothing needs to be
+   * asked for.
+   *
+   * @param afterVersion the version after which {@code known} holds all changes
+   * @param current whether the store has just told the other VM so
+   */
+  boolean onPeerRows(long nowNanos, long afterVersion, Rows known, boolean current) {
+    if (afterVersion > version) {
+      return false;
+    }
+    if (current && !reader) {
+      heardNanos = nowNanos;
+      noteAnswers(true, Optional.empty());
+    }
+    if (known.version() <= version) {
+      return true;
+    }
     List<StoredRow> changed = merge(known.rows());
     version = known.version();
+    boolean first = !wholeKnown;
     wholeKnown = true;
-    listener.onRows(changed, true);
+    if (!changed.isEmpty() || first) {
+      listener.onRows(changed, true);
+    }
+    return true;
   }
 
   /**
@@ -125,6 +201,7 @@
       return;
     }
     calling = true;
+    due = false;
     long number = ++callNumber;
     boolean readAll = readAllNext && !(wholeKnown && version > 0);
     Promise<Either<PlatformFailure, Rows>> answer =
@@ -147,7 +224,7 @@
     retryMillis = FIRST_RETRY_MILLIS;
     noteAnswers(true, Optional.empty());
     if (readAll && known.version() < version) {
-      timer.after(FIRST_RETRY_MILLIS, this::call);
+      callAfter(FIRST_RETRY_MILLIS);
       return false;
     }
     List<StoredRow> changed = new ArrayList<>();
@@ -162,7 +239,8 @@
     if (!changed.isEmpty() || first) {
       listener.onRows(changed, true);
     }
-    timer.after(pace.gapMillis(), this::call);
+    listener.onRead();
+    callAfter(pace.gapMillis());
     return true;
   }
 
@@ -175,11 +253,22 @@
       return false;
     }
     noteAnswers(false, Optional.of(failure));
-    timer.after(retryMillis, this::call);
+    callAfter(reader ? retryMillis : STAND_IN_RETRY_MILLIS);
     retryMillis = Math.min(LAST_RETRY_MILLIS, 2 * retryMillis);
     return false;
   }
 
+  private void callAfter(long delayMillis) {
+    timer.after(
+        delayMillis,
+        () -> {
+          due = true;
+          if (reader) {
+            call();
+          }
+        });
+  }
+
   private void noteAnswers(boolean answers, Optional<PlatformFailure> failure) {
     if (answers != storeAnswers) {
       storeAnswers = answers;
@@ -191,23 +280,31 @@
     Map<String, StoredRow> present = new HashMap<>();
     known.rows().forEach(row -> present.put(row.key(), row));
     List<StoredRow> removed = new ArrayList<>();
-    for (StoredRow row : ImmutableList.copyOf(rows.values())) {
+    for (Held held : ImmutableList.copyOf(rows.values())) {
+      StoredRow row = held.row();
       boolean isThere = row.value().isPresent();
       if (isThere && !present.containsKey(row.key()) && row.version() <= known.version()) {
         StoredRow gone = new StoredRow(row.key(), known.version(), Optional.empty());
-        rows.put(row.key(), gone);
+        rows.put(row.key(), new Held(gone, meaning.apply(gone), known.version()));
         removed.add(gone);
       }
     }
     return removed;
   }
 
+  /** Takes over the newer rows; returns those that say something else than before. */
   private List<StoredRow> merge(List<StoredRow> newer) {
     List<StoredRow> changed = new ArrayList<>();
     for (StoredRow row : newer) {
-      StoredRow held = rows.get(row.key());
-      if (held == null || held.version() < row.version()) {
-        rows.put(row.key(), row);
+      Held held = rows.get(row.key());
+      if (held != null && held.row().version() >= row.version()) {
+        continue;
+      }
+      Object says = meaning.apply(row);
+      if (held != null && held.meaning().equals(says)) {
+        rows.put(row.key(), new Held(row, says, held.changedVersion()));
+      } else {
+        rows.put(row.key(), new Held(row, says, row.version()));
         changed.add(row);
       }
     }
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -87,7 +87,9 @@
       case PeerMessage.RowsKnown known ->
           new WireRowsKnown()
               .withTable(known.table())
+              .withAfterVersion(known.afterVersion())
               .withVersion(known.version())
+              .withCurrent(known.current())
               .withRows(known.rows().stream().map(PeerCodec::toWire).toList());
       case PeerMessage.ConfigObjects objects ->
           new WireConfigObjects()
@@ -175,7 +177,11 @@
       case WireRowsWanted w -> new PeerMessage.RowsWanted(w.getTable(), w.getAfterVersion());
       case WireRowsKnown w ->
           new PeerMessage.RowsKnown(
-              w.getTable(), w.getVersion(), w.getRows().stream().map(PeerCodec::fromWire).toList());
+              w.getTable(),
+              w.getAfterVersion(),
+              w.getVersion(),
+              w.getCurrent(),
+              w.getRows().stream().map(PeerCodec::fromWire).toList());
       case WireConfigFetch w -> new PeerMessage.ConfigFetch(w.getHashes());
       case WireConfigObjects w -> fromWire(w);
       case WireHeartbeat w -> new PeerMessage.OfMembership(MemberWire.fromWire(w));
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
@@ -42,13 +42,17 @@
   record RowsWanted(String table, long afterVersion) implements PeerMessage {}
 
   /**
-   * Carries the rows that were asked for.
+   * Carries rows of {@code table}.
    *
    * @param table the table
+   * @param afterVersion the rows are complete for one who knows all rows up to this version
    * @param version the version up to which the sender knows all rows
-   * @param rows the rows that changed after the version asked for
+   * @param current whether the store has just told the sender so
+   * @param rows the rows that changed after {@code afterVersion}
    */
-  record RowsKnown(String table, long version, List<KnownRow> rows) implements PeerMessage {
+  record RowsKnown(
+      String table, long afterVersion, long version, boolean current, List<KnownRow> rows)
+      implements PeerMessage {
     /** Copies the list. */
     public RowsKnown {
       rows = ImmutableList.copyOf(rows);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/RowFollowerTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/RowFollowerTest.java
@@ -8,6 +8,7 @@
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.vavr.control.Either;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +19,8 @@
 import org.mustardstage.entry.platform.PlatformFailure;
 
 class RowFollowerTest {
+  private static final long SECOND = 1_000_000_000L;
+
   private final FakeStore store = new FakeStore();
   private final List<Runnable> timers = new ArrayList<>();
   private final List<String> seen = new ArrayList<>();
@@ -27,6 +30,7 @@
           Deployment.Feed.OPERATOR,
           new RowFollower.Pace(1_000, 0),
           (delayMillis, task) -> timers.add(task),
+          row -> row.value().map(ByteBuffer::wrap),
           new RecordingListener());
 
   @Test
@@ -119,14 +123,89 @@
   @Test
   void rowsOfAnotherVmAreTakenWhenTheyAreNewer() {
     follower.start();
-    follower.onPeerRows(rows(12, row("a", 11)).get());
-    follower.onPeerRows(rows(11, row("a", 10)).get());
+    follower.onPeerRows(SECOND, 0, rows(12, row("a", 11)).get(), /* current= */ false);
+    follower.onPeerRows(SECOND, 0, rows(11, row("a", 10)).get(), /* current= */ false);
 
     assertThat(seen, contains("a@11"));
     assertThat(follower.version(), is(12L));
     assertThat(follower.changedSince(11), is(empty()));
   }
 
+  @Test
+  void rowThatSaysTheSameAsBeforeIsNoChange() {
+    follower.start();
+    store.answer(rows(7, row("a", 3)));
+    runTimers();
+    store.answer(rows(9, row("a", 9)));
+
+    assertThat(seen, contains("a@3"));
+    assertThat(follower.version(), is(9L));
+    assertThat(follower.changedSince(7), is(empty()));
+  }
+
+  @Test
+  void vmThatHearsOfTheReaderMakesNoCalls() {
+    startAsListener();
+    for (int i = 1; i <= 10; i++) {
+      runTimers();
+      follower.onTick(i * SECOND);
+      follower.onPeerRows(i * SECOND, 6 + i, rows(7 + i).get(), /* current= */ true);
+    }
+
+    assertThat(store.calls, contains("all"));
+    assertThat(follower.version(), is(17L));
+  }
+
+  @Test
+  void vmThatHearsNothingOfTheReaderReadsTheStoreInTime() {
+    startAsListener();
+    runTimers();
+    follower.onTick(SECOND);
+    assertThat(store.calls, contains("all"));
+
+    follower.onTick(SECOND * 8 / 5);
+
+    assertThat(store.calls, contains("all", "after 7"));
+  }
+
+  @Test
+  void vmThatMissedAMessageOfTheReaderAsksForTheRest() {
+    startAsListener();
+
+    boolean complete = follower.onPeerRows(SECOND, 9, rows(12).get(), /* current= */ true);
+
+    assertThat(complete, is(false));
+    assertThat(follower.version(), is(7L));
+  }
+
+  @Test
+  void newReaderAsksTheStoreAtOnce() {
+    startAsListener();
+    runTimers();
+
+    follower.setReader(SECOND, true);
+
+    assertThat(store.calls, contains("all", "after 7"));
+  }
+
+  @Test
+  void listenerThatTheStoreTurnsAwayIsBackWhenTheReaderIs() {
+    startAsListener();
+    runTimers();
+    follower.onTick(2 * SECOND);
+    store.answer(Either.left(new PlatformFailure.Refused(503)));
+
+    follower.onPeerRows(3 * SECOND, 7, rows(8, row("b", 8)).get(), /* current= */ true);
+
+    assertThat(seen, contains("a@3", "lost", "back", "b@8"));
+  }
+
+  private void startAsListener() {
+    follower.start();
+    store.answer(rows(7, row("a", 3)));
+    follower.setReader(0, false);
+  }
+
   private void runTimers() {
     List<Runnable> due = new ArrayList<>(timers);
     timers.clear();
@@ -148,6 +227,9 @@
           row -> seen.add(row.key() + (row.value().isPresent() ? "@" + row.version() : " gone")));
     }
 
+    @Override
+    public void onRead() {}
+
     @Override
     public void onStoreAnswers(boolean answers, Optional<PlatformFailure> failure) {
       seen.add(answers ? "back" : "lost");
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
@@ -67,7 +67,9 @@
         new PeerMessage.RowsWanted("ENDPOINTS", 12),
         new PeerMessage.RowsKnown(
             "ENDPOINTS",
+            12,
             14,
+            true,
             List.of(
                 new PeerMessage.KnownRow("a", 13, Optional.of("AAE=")),
                 new PeerMessage.KnownRow("b", 14, Optional.empty()))));
