Send callers to the large VMs of a zone while they have enough room

Ruled out: a share of the VMs chosen by hash (small VMs would carry four times as much; the rule needs a measure of demand), passing requests on to the VM that schedules an endpoint (twice the processor time). Zones of VMs of one size are as before.

--- a/core/src/main/java/org/mustardstage/core/member/Member.java
+++ b/core/src/main/java/org/mustardstage/core/member/Member.java
@@ -16,6 +16,7 @@
  * @param peerAddress where other entry VMs reach it
  * @param adminAddress where operators reach it
  * @param leaving whether it said that it is leaving
+ * @param milliCores its processor, in thousandths of a core
  */
 public record Member(
     VmIncarnation incarnation,
@@ -24,7 +25,31 @@
     HostAndPort trafficAddress,
     HostAndPort peerAddress,
     HostAndPort adminAddress,
-    boolean leaving) {
+    boolean leaving,
+    int milliCores) {
+  /** What a VM that doesn't say is taken to have. */
+  public static final int USUAL_MILLI_CORES = 1_000;
+
+  /** Creates a member that doesn't say what its processor is. */
+  public Member(
+      VmIncarnation incarnation,
+      ZoneId zone,
+      RegionId region,
+      HostAndPort trafficAddress,
+      HostAndPort peerAddress,
+      HostAndPort adminAddress,
+      boolean leaving) {
+    this(
+        incarnation,
+        zone,
+        region,
+        trafficAddress,
+        peerAddress,
+        adminAddress,
+        leaving,
+        USUAL_MILLI_CORES);
+  }
+
   /** Returns the name of the VM. */
   public VmId vm() {
     return incarnation.vm();
@@ -32,6 +57,14 @@
 
   /** Returns this member as leaving. */
   public Member asLeaving() {
-    return new Member(incarnation, zone, region, trafficAddress, peerAddress, adminAddress, true);
+    return new Member(
+        incarnation,
+        zone,
+        region,
+        trafficAddress,
+        peerAddress,
+        adminAddress,
+        /* leaving= */ true,
+        milliCores);
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/mustardstage/core/lookup/RoomyVmsTest.java
@@ -0,0 +1,86 @@
+package org.mustardstage.core.lookup;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.VmIncarnation;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.member.Member;
+
+class RoomyVmsTest {
+  @Test
+  void vmsOfOneSizeAreAllChosen() {
+    List<Member> vms = vms(4, 420, 0, 0);
+
+    assertThat(RoomyVms.choose(vms), is(vms));
+  }
+
+  @Test
+  void smallVmsStandByWhileLargeOnesHaveRoom() {
+    assertThat(RoomyVms.choose(vms(2, 1_500, 11, 210)), is(vms(2, 1_500, 0, 0)));
+  }
+
+  @Test
+  void smallVmsHelpWhenALargeOneIsLost() {
+    assertThat(RoomyVms.choose(vms(1, 1_500, 11, 210)), hasSize(12));
+  }
+
+  @Test
+  void smallVmsHelpWhenTheyHoldMostOfTheRoom() {
+    assertThat(RoomyVms.choose(vms(2, 1_000, 20, 210)), hasSize(22));
+  }
+
+  @Test
+  void eachZoneIsLookedAtByItself() {
+    List<Member> vms = new ArrayList<>(vms(2, 1_500, 11, 210));
+    Member alone = vm("alone", 210, "other");
+    vms.add(alone);
+
+    List<Member> chosen = RoomyVms.chooseByZone(vms);
+
+    assertThat(chosen, hasSize(3));
+    assertThat(chosen, hasItem(alone));
+  }
+
+  @Test
+  void nothingIsChosenFromNothing() {
+    assertThat(RoomyVms.choose(List.of()), is(empty()));
+  }
+
+  private static List<Member> vms(int large, int largeCores, int small, int smallCores) {
+    List<Member> vms = new ArrayList<>();
+    for (int i = 0; i < large; i++) {
+      vms.add(vm("large-" + i, largeCores));
+    }
+    for (int i = 0; i < small; i++) {
+      vms.add(vm("small-" + i, smallCores));
+    }
+    return vms;
+  }
+
+  private static Member vm(String name, int milliCores) {
+    return vm(name, milliCores, "zone");
+  }
+
+  private static Member vm(String name, int milliCores, String zone) {
+    HostAndPort address = new HostAndPort("10.0.0.1", 1);
+    return new Member(
+        new VmIncarnation(new VmId(name), 1),
+        new ZoneId(zone),
+        new RegionId("region"),
+        address,
+        address,
+        address,
+        /* leaving= */ false,
+        milliCores);
+  }
+}
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -13,9 +13,11 @@
 import java.util.function.LongSupplier;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.lookup.RoomyVms;
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
@@ -52,6 +54,10 @@
   private final Map<ServiceName, RetryBudget> repeats = new HashMap<>();
   private final Map<Long, Pending> pending = new HashMap<>();
   private Optional<MemberView> members = Optional.empty();
+
+  /** Whether this VM is in charge of an endpoint while it is cold, by the members last heard of. */
+  private final Map<EndpointId, Boolean> inCharge = new HashMap<>();
+
   private long nextAskId = 1;
 
   /** The most VMs seen so far; they share the repeats. */
@@ -97,6 +103,7 @@
   /** Takes over the endpoints that may be sent new work, by service. */
   void onEndpoints(ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> usable) {
     endpoints = usable;
+    inCharge.clear();
     long nowNanos = clock.getAsLong();
     schedulers.forEach(
         (name, scheduler) ->
@@ -111,25 +118,32 @@
       repeats.clear();
     }
     members = Optional.of(view);
+    inCharge.clear();
     schedulers.values().forEach(scheduler -> scheduler.onSettings(placementSettings()));
   }
 
   private PlacementSettings placementSettings() {
-    return PlacementSettings.sharedBy(Math.max(1, aliveIn(settings.region()).size()));
+    return PlacementSettings.sharedBy(Math.max(1, carriersIn(settings.region()).size()));
   }
 
-  private ImmutableList<Member> aliveIn(RegionId region) {
-    return members.stream()
-        .flatMap(view -> view.statuses().stream())
-        .filter(MemberStatus::takesCallers)
-        .map(MemberStatus::member)
-        .filter(member -> member.region().equals(region))
-        .collect(ImmutableList.toImmutableList());
+  /** Returns the VMs of {@code region} that callers are sent to. */
+  private ImmutableList<Member> carriersIn(RegionId region) {
+    return RoomyVms.chooseByZone(
+        members.stream()
+            .flatMap(view -> view.statuses().stream())
+            .filter(MemberStatus::takesCallers)
+            .map(MemberStatus::member)
+            .filter(member -> member.region().equals(region))
+            .toList());
   }
 
   /** Returns whether this VM, of all in the endpoint's region, sends to it while it is cold. */
   private boolean isInChargeOf(RegisteredEndpoint endpoint) {
-    ImmutableList<Member> near = aliveIn(roundTrips.regionOf(endpoint.zone()));
+    return inCharge.computeIfAbsent(endpoint.id(), id -> chooseInCharge(endpoint));
+  }
+
+  private boolean chooseInCharge(RegisteredEndpoint endpoint) {
+    ImmutableList<Member> near = carriersIn(roundTrips.regionOf(endpoint.zone()));
     return Representatives.choose("cold/" + endpoint.id(), near)
         .filter(member -> member.vm().equals(settings.vm()))
         .isPresent();
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -26,6 +26,7 @@
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.id.VmIncarnation;
 import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.lookup.RoomyVms;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberAction;
@@ -127,7 +128,8 @@
             settings.callerAddress(),
             settings.peerAddress(),
             settings.metricsAddress(),
-            /* leaving= */ false);
+            /* leaving= */ false,
+            settings.milliCores());
     this.eventloop =
         Eventloop.builder()
             .withThreadName("control")
@@ -362,8 +364,7 @@
 
   private static ImmutableList<HostAndPort> addresses(
       List<Member> members, Predicate<Member> wanted) {
-    return members.stream()
-        .filter(wanted)
+    return RoomyVms.choose(members.stream().filter(wanted).toList()).stream()
         .map(Member::trafficAddress)
         .collect(ImmutableList.toImmutableList());
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
@@ -31,6 +31,7 @@
  * @param repeatShare the share of first sends that all VMs together may send again
  * @param repeatReserve the repeats that all VMs together may send beyond that share
  * @param moveLimit how fast requests may change the region in which they run
+ * @param milliCores the VM's processor, in thousandths of a core
  * @param logLevel the least important level that is logged
  */
 public record GatewaySettings(
@@ -50,6 +51,7 @@
     double repeatShare,
     int repeatReserve,
     MoveLimit moveLimit,
+    int milliCores,
     String logLevel) {
   /** Copies the collections and checks the ranges. */
   public GatewaySettings {
@@ -64,5 +66,6 @@
     Preconditions.checkArgument(
         repeatShare >= 0 && repeatShare <= 1, "repeatShare must be between 0 and 1");
     Preconditions.checkArgument(repeatReserve >= 0, "repeatReserve must not be negative");
+    Preconditions.checkArgument(milliCores > 0, "the processor must not be empty");
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettingsReader.java
@@ -28,6 +28,7 @@
   private static final long DEFAULT_ANSWER_LIFETIME_MILLIS = 2_000;
   private static final double DEFAULT_MOVED_SHARE = 0.15;
   private static final long DEFAULT_MOVED_WITHIN_MILLIS = 2_000;
+  private static final double MILLI_CORES_PER_CORE = 1_000;
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final JsonNode root;
@@ -78,6 +79,10 @@
                   root.path("movedShare").asDouble(DEFAULT_MOVED_SHARE),
                   Duration.ofMillis(
                       root.path("movedWithinMillis").asLong(DEFAULT_MOVED_WITHIN_MILLIS))),
+              (int)
+                  (MILLI_CORES_PER_CORE
+                      * root.path("cores").asDouble(1)
+                      * root.path("cpuShare").asDouble(1)),
               root.path("logLevel").asText("info"));
     } catch (IllegalArgumentException | NullPointerException e) {
       if (problems.isEmpty()) {
--- a/entry/src/main/java/org/mustardstage/entry/peer/MemberWire.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MemberWire.java
@@ -73,7 +73,8 @@
         .withTrafficPort((long) member.trafficAddress().port())
         .withPeerPort((long) member.peerAddress().port())
         .withAdminPort((long) member.adminAddress().port())
-        .withLeaving(member.leaving());
+        .withLeaving(member.leaving())
+        .withMilliCores((long) member.milliCores());
   }
 
   static MemberMessage fromWire(WireHeartbeat wire) {
@@ -120,6 +121,7 @@
         new HostAndPort(wire.getHost(), Math.toIntExact(wire.getTrafficPort())),
         new HostAndPort(wire.getHost(), Math.toIntExact(wire.getPeerPort())),
         new HostAndPort(wire.getHost(), Math.toIntExact(wire.getAdminPort())),
-        wire.getLeaving());
+        wire.getLeaving(),
+        Math.toIntExact(wire.getMilliCores()));
   }
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -108,6 +108,7 @@
         0.2,
         100,
         new MoveLimit(0.15, Duration.ofSeconds(2)),
+        420,
         "info");
   }
 
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewaySettingsReaderTest.java
@@ -47,6 +47,15 @@
     assertThat(settings.moveLimit(), is(new MoveLimit(0.15, Duration.ofSeconds(2))));
   }
 
+  @Test
+  void processorIsItsShareOfItsCores() {
+    GatewaySettings settings =
+        GatewaySettingsReader.read(SETTINGS + "cores: 2\ncpuShare: 0.75\n").get();
+
+    assertThat(settings.milliCores(), is(1_500));
+    assertThat(GatewaySettingsReader.read(SETTINGS + "cpuShare: 0\n").isLeft(), is(true));
+  }
+
   @Test
   void limitOfMovesIsReadAndChecked() {
     GatewaySettings settings =
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
@@ -419,6 +419,7 @@
         0.2,
         100,
         new MoveLimit(0.15, Duration.ofSeconds(2)),
+        420,
         "info");
   }
 
