Use rested connections with care once one was forgotten

Ruled out: a fixed short rest for all (new connections are dear, most rest longer than a second). Change: RestLimits, learned from resets right after a rest; what must not run twice keeps to the strictest limit everywhere. Such a reset is no mark against the endpoint. RestLimitsTest, GatewayTest.

--- /dev/null
+++ b/core/src/test/java/org/mustardstage/core/placement/RestLimitsTest.java
@@ -0,0 +1,44 @@
+package org.mustardstage.core.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+import org.mustardstage.core.manifest.HostAndPort;
+
+class RestLimitsTest {
+  private static final HostAndPort FORGETFUL = new HostAndPort("10.0.0.1", 80);
+  private static final HostAndPort OTHER = new HostAndPort("10.0.0.2", 80);
+
+  private final RestLimits limits = new RestLimits();
+
+  @Test
+  void connectionsRestWithoutLimitUntilOneIsForgotten() {
+    assertThat(limits.maxRestMillis(0, FORGETFUL, true), is(Long.MAX_VALUE));
+    assertThat(limits.maxRestMillis(0, FORGETFUL, false), is(Long.MAX_VALUE));
+  }
+
+  @Test
+  void forgottenConnectionLimitsTheOthersOfItsAddress() {
+    limits.onForgotten(0, FORGETFUL, 400);
+
+    assertThat(limits.maxRestMillis(Scenes.SECOND, FORGETFUL, true), is(100L));
+    assertThat(limits.maxRestMillis(Scenes.SECOND, OTHER, true), is(Long.MAX_VALUE));
+  }
+
+  @Test
+  void requestThatMustNotRunTwiceKeepsToTheLimitEverywhere() {
+    limits.onForgotten(0, FORGETFUL, 400);
+    limits.onForgotten(0, FORGETFUL, 2_000);
+
+    assertThat(limits.maxRestMillis(Scenes.SECOND, OTHER, false), is(100L));
+  }
+
+  @Test
+  void limitIsForgottenAfterQuietTime() {
+    limits.onForgotten(0, FORGETFUL, 400);
+
+    assertThat(limits.maxRestMillis(16 * Scenes.SECOND, FORGETFUL, true), is(Long.MAX_VALUE));
+    assertThat(limits.maxRestMillis(16 * Scenes.SECOND, OTHER, false), is(Long.MAX_VALUE));
+  }
+}
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CallerExchange.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CallerExchange.java
@@ -39,9 +39,6 @@
 
   private static final long SILENT_AFTER_AT_LEAST_MILLIS = 500;
 
-  /** A request that must not run twice goes over a link that has answered this lately, or a new. */
-  private static final long FRESH_LINK_MILLIS = 3_000;
-
   private static final int MAX_LINKS_TO_ENDPOINT = 64;
   private static final int MAX_UNREACHABLE = 4;
   private static final int MISDIRECTED = 421;
@@ -176,9 +173,8 @@
     long leftMillis = leftMillis() - DEADLINE_MARGIN_MILLIS;
     byte[] bytes = RequestBytes.of(request, endpoint, dialect, Math.max(1, leftMillis));
     boolean withoutBody = request.method() == HttpMethod.HEAD;
-    long withinMillis = request.rule().idempotent() ? Long.MAX_VALUE : FRESH_LINK_MILLIS;
     Optional<EndpointLink> idle =
-        links.takeIdle(endpoint.address(), System.nanoTime(), withinMillis);
+        links.takeIdle(endpoint.address(), System.nanoTime(), request.rule().idempotent());
     EndpointLink link;
     Promise<Either<LinkFailure, EndpointReply>> reply;
     tried.add(endpoint.id());
@@ -260,6 +256,13 @@
         }
         askForEndpoint();
       }
+      case FORGOTTEN -> {
+        links.onForgotten(current.placed.endpoint().address(), current.link);
+        current.finish(Result.ABANDONED, Optional.empty());
+        tried.remove(current.placed.endpoint().id());
+        mayHaveRun = true;
+        trySendAgain(ExchangeEnd.Unknown.Cause.ANSWER_LOST);
+      }
       case BROKEN, MALFORMED -> {
         current.finish(Result.SPOILED, Optional.empty());
         mayHaveRun = true;
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLink.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLink.java
@@ -12,12 +12,16 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One connection to an endpoint, which carries one request at a time. What arrives while it carries
  * none belongs to nobody and ends it; an answer with another request's id is passed over.
  */
 final class EndpointLink {
+  /** A reset that comes later than this after a request was sent is about the request itself. */
+  private static final long FORGOTTEN_WITHIN_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
   private final NioReactor reactor;
   private final InetSocketAddress address;
   private final Dialect dialect;
@@ -30,15 +34,27 @@
   private long lastAnswerNanos = System.nanoTime();
   private OptionalLong connectNanos = OptionalLong.empty();
   private long keptMillis = Long.MAX_VALUE;
+  private long restedNanos;
 
   /** A request that is being carried. */
   private static final class Exchange {
     private final String requestId;
     private final SettablePromise<Either<LinkFailure, EndpointReply>> end = new SettablePromise<>();
+    private final long restedNanos;
+    private final long startedNanos = System.nanoTime();
     private boolean written;
+    private boolean answerBegun;
 
-    Exchange(String requestId) {
+    /** {@code restedNanos} is how long the link carried nothing before, 0 for a new one. */
+    Exchange(String requestId, long restedNanos) {
       this.requestId = requestId;
+      this.restedNanos = restedNanos;
+    }
+
+    boolean metForgottenLink() {
+      return restedNanos > 0
+          && !answerBegun
+          && System.nanoTime() - startedNanos < FORGOTTEN_WITHIN_NANOS;
     }
   }
 
@@ -53,7 +69,7 @@
   Promise<Either<LinkFailure, EndpointReply>> connectAndSend(
       Duration connectTimeout, String requestId, boolean withoutBody, byte[] request) {
     long startedNanos = System.nanoTime();
-    Exchange first = new Exchange(requestId);
+    Exchange first = new Exchange(requestId, /* restedNanos= */ 0);
     exchange = Optional.of(first);
     TcpSocket.connect(reactor, address, connectTimeout, null)
         .whenResult(made -> onConnected(made, startedNanos, first, withoutBody, request))
@@ -77,7 +93,8 @@
   Promise<Either<LinkFailure, EndpointReply>> send(
       String requestId, boolean withoutBody, byte[] request) {
     connectNanos = OptionalLong.empty();
-    Exchange next = new Exchange(requestId);
+    restedNanos = System.nanoTime() - lastAnswerNanos;
+    Exchange next = new Exchange(requestId, restedNanos);
     exchange = Optional.of(next);
     write(next, withoutBody, request);
     return next.end;
@@ -113,6 +130,7 @@
       close();
       return;
     }
+    exchange.get().answerBegun = true;
     parser.add(buf.array(), buf.head(), buf.readRemaining());
     buf.recycle();
     try {
@@ -196,7 +214,13 @@
     Optional<Exchange> failed = exchange;
     exchange = Optional.empty();
     close();
-    failed.ifPresent(each -> each.end.trySet(Either.left(failure)));
+    failed.ifPresent(
+        each ->
+            each.end.trySet(
+                Either.left(
+                    failure == LinkFailure.BROKEN && each.metForgottenLink()
+                        ? LinkFailure.FORGOTTEN
+                        : failure)));
   }
 
   /** Closes the link; the promise of a request that it still carries is never completed. */
@@ -224,6 +248,11 @@
     return lastAnswerNanos;
   }
 
+  /** Returns how long the link had rested before the last request. */
+  long restedMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(restedNanos);
+  }
+
   /** Returns how long the endpoint said it keeps an idle connection. */
   long keptMillis() {
     return keptMillis;
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinks.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinks.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.placement.RestLimits;
 
 /** The links of one traffic thread to all endpoints. */
 final class EndpointLinks {
@@ -22,9 +23,13 @@
   /** How long idle links are kept when the endpoint doesn't say. */
   private static final long DEFAULT_KEPT_MILLIS = 6_000;
 
+  /** A request that must not run twice goes over a link that has answered this lately, or a new. */
+  private static final long FRESH_LINK_MILLIS = 3_000;
+
   private final NioReactor reactor;
   private final Dialect dialect;
   private final Map<HostAndPort, Pool> pools = new HashMap<>();
+  private final RestLimits restLimits = new RestLimits();
 
   private static final class Pool {
     private final Deque<EndpointLink> idle = new ArrayDeque<>();
@@ -37,8 +42,15 @@
     this.dialect = dialect;
   }
 
-  /** Returns an idle link that answered within {@code withinMillis}, if there is one. */
-  Optional<EndpointLink> takeIdle(HostAndPort address, long nowNanos, long withinMillis) {
+  /**
+   * Returns an idle link that a request may be sent over, if there is one. A request that must not
+   * run twice gets only one that has answered lately.
+   */
+  Optional<EndpointLink> takeIdle(HostAndPort address, long nowNanos, boolean idempotent) {
+    long withinMillis =
+        Math.min(
+            idempotent ? Long.MAX_VALUE : FRESH_LINK_MILLIS,
+            restLimits.maxRestMillis(nowNanos, address, idempotent));
     Pool pool = pools.get(address);
     if (pool == null) {
       return Optional.empty();
@@ -50,7 +62,7 @@
         pool.idle.removeLast();
         continue;
       }
-      if (nowNanos - freshest.lastAnswerNanos() > TimeUnit.MILLISECONDS.toNanos(withinMillis)) {
+      if (nowNanos - freshest.lastAnswerNanos() >= TimeUnit.MILLISECONDS.toNanos(withinMillis)) {
         return Optional.empty();
       }
       return Optional.of(pool.idle.removeLast());
@@ -142,6 +154,11 @@
     }
   }
 
+  /** Notes that {@code link} was reset on its first request after it rested. */
+  void onForgotten(HostAndPort address, EndpointLink link) {
+    restLimits.onForgotten(System.nanoTime(), address, link.restedMillis());
+  }
+
   /** Closes every link. */
   void closeAll() {
     for (Pool pool : pools.values()) {
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
@@ -29,6 +29,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -373,6 +375,26 @@
     assertThat(first.received().size(), is(not(0)));
   }
 
+  /** Endpoints that answer the first request of a connection and reset the next one. */
+  @Test
+  void idempotentRequestThatMeetsAForgottenLinkIsSentAgain() throws Exception {
+    Set<Socket> used = ConcurrentHashMap.newKeySet();
+    FakeTarget.Script forgetful =
+        (request, socket) -> {
+          if (used.add(socket)) {
+            FakeTarget.ok(request, socket, "done");
+          } else {
+            socket.close();
+          }
+        };
+    first.script(forgetful);
+    second.script(forgetful);
+
+    for (int i = 0; i < 4; i++) {
+      assertThat(get(LOOK).statusCode(), is(200));
+    }
+  }
+
   private static void refuse(FakeTarget.Received request, Socket socket) throws IOException {
     FakeTarget.answer(request, socket, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
   }
