Only demand is held to the slope: requests of lost endpoints move at once

Change: for 4 s after endpoints nearby leave, cool down or are paused, shares follow at once; an owed request goes only where it is in time even when its object is cold there. Tests replay an evacuated zone.

--- a/core/src/main/java/org/mustardstage/core/placement/RegionShares.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RegionShares.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.mustardstage.core.id.RegionId;
 
 /**
@@ -13,11 +14,12 @@
  * <p>Answers the load in which one region has few endpoints and all of them warm up at once: at
  * first most of its requests are better off elsewhere, and a second later none are. The share that
  * is sent follows what placement would choose, but neither rises nor falls faster than the limit; a
- * sum over VMs that each keep to it keeps to it as well.
+ * sum over VMs that each keep to it keeps to it as well. Only demand is held back: when endpoints
+ * are lost, their requests move at once.
  */
 public final class RegionShares {
   /** The part of the limit that is used; the rest covers single requests and retries. */
-  private static final double USED_PART = 0.7;
+  private static final double USED_PART = 0.75;
 
   /** The weight of one choice in the wished share; about the last second of a VM decides. */
   private static final double WISH_WEIGHT = 0.05;
@@ -28,11 +30,15 @@
   /** A region that didn't get what it is owed, or got more than it was, is remembered so far. */
   private static final double MAX_CREDIT = 3;
 
+  /** By then requests have moved away from endpoints that were lost. */
+  private static final long FAILOVER_NANOS = TimeUnit.SECONDS.toNanos(4);
+
   private final double slopePerNano;
   private final long windowNanos;
   private final double phase;
   private final Map<RegionId, Share> shares = new HashMap<>();
   private long movedNanos = Long.MIN_VALUE / 2;
+  private long failoverUntilNanos = Long.MIN_VALUE / 2;
 
   private static final class Share {
     private double wished;
@@ -69,6 +75,15 @@
     follow(nowNanos);
   }
 
+  /** Takes in that endpoints of the own region may not be used any more. */
+  void onEndpointsLost(long nowNanos) {
+    failoverUntilNanos = nowNanos + FAILOVER_NANOS;
+  }
+
+  private boolean isFailover(long nowNanos) {
+    return nowNanos - failoverUntilNanos < 0;
+  }
+
   /** Moves the allowed shares towards the wished ones; together they move no more than the step. */
   private void follow(long nowNanos) {
     double step = slopePerNano * Math.min(windowNanos, nowNanos - movedNanos);
@@ -83,14 +98,19 @@
     for (Share share : shares.values()) {
       double change = share.wished - share.allowed;
       double total = change > 0 ? rise : fall;
-      if (total > 0) {
+      if (change > 0 && isFailover(nowNanos)) {
+        share.allowed = share.wished;
+      } else if (total > 0) {
         share.allowed += change * Math.min(1, step / total);
       }
     }
   }
 
   /** Returns whether one more request may be sent to {@code other} now. */
-  boolean allows(RegionId other) {
+  boolean allows(long nowNanos, RegionId other) {
+    if (isFailover(nowNanos)) {
+      return true;
+    }
     Share share = shares.get(other);
     double credit = share == null ? phase : share.credit + share.allowed;
     return credit >= 1;
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -110,6 +110,7 @@
 
   /** Takes over the endpoints that may be sent new work. */
   public void onEndpoints(long nowNanos, Collection<UsableEndpoint> newEndpoints) {
+    int usedSlots = warmSlotsNearby(nowNanos, endpoints.values());
     Map<EndpointId, EndpointUse> kept = new HashMap<>();
     for (UsableEndpoint each : newEndpoints) {
       RegisteredEndpoint endpoint = each.endpoint();
@@ -125,6 +126,9 @@
       kept.put(endpoint.id(), use);
     }
     boolean same = kept.keySet().equals(endpoints.keySet());
+    if (warmSlotsNearby(nowNanos, kept.values()) < usedSlots) {
+      regionShares.onEndpointsLost(nowNanos);
+    }
     endpoints.clear();
     endpoints.putAll(kept);
     usable = ImmutableList.sortedCopyOf(BY_ID, kept.values());
@@ -133,6 +137,13 @@
     }
   }
 
+  private int warmSlotsNearby(long nowNanos, Collection<EndpointUse> uses) {
+    return uses.stream()
+        .filter(use -> isNear(use) && !use.isCold(nowNanos))
+        .mapToInt(EndpointUse::slots)
+        .sum();
+  }
+
   /** Decides about a new ask: at once, or later when it has to wait for a slot. */
   public Optional<Decision> offer(long nowNanos, Ask ask) {
     if (usable.isEmpty()) {
@@ -201,7 +212,12 @@
     } else if (end.result() == UseEnd.Result.SILENT) {
       use.observeSpeed((double) end.elapsedNanos(), (double) placed.expectedNanos());
     }
-    if (use.trust().onEnd(nowNanos, end.result())) {
+    boolean wasAllowed = use.trust().allows(nowNanos);
+    boolean isBack = use.trust().onEnd(nowNanos, end.result());
+    if (wasAllowed && isNear(use) && !use.trust().allows(nowNanos)) {
+      regionShares.onEndpointsLost(nowNanos);
+    }
+    if (isBack) {
       use.becomeCold(
           nowNanos, nowNanos + (long) (spec.coldMillis() * NANOS_PER_MILLI), spec.coldPerSecond());
     }
@@ -314,6 +330,8 @@
    * An endpoint that may serve an ask.
    *
    * @param otherRegion its region, unless that is the own one
+   * @param serviceNanos how long the answer takes once there is a slot
+   * @param slowestNanos the same if the object is not warm there after all
    */
   private record Candidate(
       EndpointUse use,
@@ -321,6 +339,7 @@
       double warmOdds,
       double waitNanos,
       double serviceNanos,
+      double slowestNanos,
       double cost) {
     boolean isFree() {
       return waitNanos == 0;
@@ -359,7 +378,9 @@
     }
     boolean ownRegionServes = candidates.stream().anyMatch(c -> c.otherRegion().isEmpty());
     Predicate<Candidate> allowed =
-        c -> !ownRegionServes || c.otherRegion().map(regionShares::allows).orElse(true);
+        c ->
+            !ownRegionServes
+                || c.otherRegion().map(other -> regionShares.allows(nowNanos, other)).orElse(true);
     return new Choice(
         wished,
         cheapest(candidates, allowed),
@@ -386,7 +407,10 @@
         .or(() -> best);
   }
 
-  /** Returns an endpoint of a region that is behind its share, if it answers in time. */
+  /**
+   * Returns an endpoint of a region that is behind its share, if it answers in time even though it
+   * has yet to warm the object up.
+   */
   private Optional<Candidate> owed(long nowNanos, Ask ask, List<Candidate> candidates) {
     Set<RegionId> regions = regionShares.owed();
     if (regions.isEmpty()) {
@@ -397,7 +421,7 @@
         c ->
             c.otherRegion().filter(regions::contains).isPresent()
                 && c.isFree()
-                && nowNanos + c.serviceNanos() <= ask.aimNanos());
+                && nowNanos + c.slowestNanos() <= ask.aimNanos());
   }
 
   private static Optional<Candidate> cheapest(
@@ -462,7 +486,12 @@
             + (place.inRegion() + place.detour()) * ORDER_COST * workNanos
             + use.trust().badShare() * aimLengthNanos
             + (finishNanos > ask.aimNanos() ? LATE_COST * aimLengthNanos : 0);
-    return new Candidate(use, otherRegionOf(use), warmOdds, waitNanos, serviceNanos, cost);
+    double slowestNanos =
+        warmOdds == 1
+            ? serviceNanos
+            : wayNanos + workTimes.expectedNanos(ask.rule(), 0) * use.slowness() * WORK_MARGIN;
+    return new Candidate(
+        use, otherRegionOf(use), warmOdds, waitNanos, serviceNanos, slowestNanos, cost);
   }
 
   private double warmOdds(long nowNanos, Ask ask, EndpointUse use, Place place) {
--- a/core/src/test/java/org/mustardstage/core/placement/RegionSharesTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/RegionSharesTest.java
@@ -27,7 +27,8 @@
       nowNanos += 20 * MILLI;
       shares.onWish(nowNanos, wish);
       Optional<RegionId> chosen =
-          wish.filter(shares::allows).or(() -> shares.owed().stream().findFirst());
+          wish.filter(region -> shares.allows(nowNanos, region))
+              .or(() -> shares.owed().stream().findFirst());
       shares.onPlaced(chosen);
       away += chosen.isPresent() ? 1 : 0;
     }
@@ -70,7 +71,8 @@
     for (int i = 0; i < 100; i++) {
       nowNanos += 20 * MILLI;
       shares.onWish(nowNanos, Optional.of(OTHER));
-      Optional<RegionId> chosen = Optional.of(OTHER).filter(shares::allows);
+      Optional<RegionId> chosen =
+          Optional.of(OTHER).filter(region -> shares.allows(nowNanos, region));
       shares.onPlaced(chosen);
       total += chosen.isPresent() ? 1 : 0;
     }
@@ -78,13 +80,23 @@
     assertThat(total / 100, lessThan(0.15));
   }
 
+  @Test
+  void requestsOfLostEndpointsMoveAtOnce() {
+    play(Optional.empty());
+
+    shares.onEndpointsLost(nowNanos);
+
+    assertThat(play(Optional.of(FAR)), is(1.0));
+    assertThat(play(Optional.of(FAR)), greaterThan(0.9));
+  }
+
   @Test
   void oneRequestMayBeSentBeforeAnyShareIsKnown() {
-    assertThat(shares.allows(FAR), is(true));
+    assertThat(shares.allows(nowNanos, FAR), is(true));
 
     shares.onPlaced(Optional.of(FAR));
 
-    assertThat(shares.allows(FAR), is(false));
+    assertThat(shares.allows(nowNanos, FAR), is(false));
     assertThat(shares.owed(), is(empty()));
   }
 
--- a/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
@@ -337,6 +337,31 @@
     assertThat(second.endpoint().zone(), is(Scenes.NEAR_ZONE));
   }
 
+  /** Half of the endpoints of the region are emptied while the others are full. */
+  @Test
+  void requestsOfAnEvacuatedZoneMoveToAnotherRegionAtOnce() {
+    ImmutableList<UsableEndpoint> stay =
+        ImmutableList.<UsableEndpoint>builder()
+            .addAll(Scenes.endpoints(Scenes.NEAR_ZONE, 1, 2))
+            .addAll(Scenes.endpoints(Scenes.FAR_ZONE, 4, 9))
+            .build();
+    scheduler.onEndpoints(
+        nowNanos,
+        ImmutableList.<UsableEndpoint>builder()
+            .addAll(stay)
+            .addAll(Scenes.endpoints(Scenes.SIBLING_ZONE, 1, 9))
+            .build());
+    Rule slow = Scenes.rule("slow", 2, 2_000);
+
+    scheduler.onEndpoints(nowNanos, stay);
+
+    int away = 0;
+    for (int i = 0; i < 12; i++) {
+      away += place(slow, "object-" + i).endpoint().zone().equals(Scenes.FAR_ZONE) ? 1 : 0;
+    }
+    assertThat(away, is(10));
+  }
+
   private void teachWorkNanos(long nanos) {
     scheduler.onEndpoints(nowNanos, Scenes.endpoints(Scenes.NEAR_ZONE, 1, 2));
     for (int i = 0; i < 40; i++) {
