--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -42,8 +42,11 @@
   /** What an answer after the objective costs, as a share of the objective. */
   private static final double LATE_COST = 0.5;
 
-  /** The part of an endpoint's slots from which on another region is wished for. */
-  private static final double HEADROOM = 0.3;
+  /** With this share of a region's slots left, another region is wished for. */
+  private static final double HEADROOM = 0.2;
+
+  /** How long the share of free slots is used before it is worked out anew. */
+  private static final long FREE_SHARE_NANOS = 50_000_000L;
 
   /** Requests that wait are looked at in order; those far behind get no slot in this round. */
   private static final int MAX_LOOKED_AT = 64;
@@ -80,6 +83,8 @@
   private ImmutableList<EndpointUse> usable = ImmutableList.of();
   private Predicate<RegisteredEndpoint> coldInCharge = endpoint -> true;
   private double meanWorkNanos;
+  private double freeShareNearby = 1;
+  private long freeShareNanos = Long.MIN_VALUE / 2;
 
   /** Creates a scheduler without endpoints; the schedulers of a VM share {@code regionShares}. */
   public ServiceScheduler(
@@ -344,10 +349,6 @@
     boolean isFree() {
       return waitNanos == 0;
     }
-
-    boolean hasHeadroom(long nowNanos) {
-      return use.freeSlots(nowNanos) > HEADROOM * use.slots();
-    }
   }
 
   /**
@@ -395,18 +396,35 @@
     Optional<Candidate> best = cheapest(candidates, candidate -> true);
     if (best.isEmpty()
         || best.get().otherRegion().isPresent()
-        || best.get().hasHeadroom(nowNanos)) {
+        || freeShareNearby(nowNanos) > HEADROOM) {
       return best;
     }
     return cheapest(
             candidates,
             c ->
                 c.otherRegion().isPresent()
-                    && c.hasHeadroom(nowNanos)
+                    && c.isFree()
                     && nowNanos + c.serviceNanos() <= ask.aimNanos())
         .or(() -> best);
   }
 
+  /** Returns the share of the slots of the own region that is believed free. */
+  private double freeShareNearby(long nowNanos) {
+    if (nowNanos - freeShareNanos > FREE_SHARE_NANOS) {
+      freeShareNanos = nowNanos;
+      double free = 0;
+      int slots = 0;
+      for (EndpointUse use : usable) {
+        if (isNear(use)) {
+          free += Math.max(0, use.freeSlots(nowNanos));
+          slots += use.slots();
+        }
+      }
+      freeShareNearby = slots == 0 ? 0 : free / slots;
+    }
+    return freeShareNearby;
+  }
+
   /**
    * Returns an endpoint of a region that is behind its share, if it answers in time even though it
    * has yet to warm the object up.
