--- a/core/src/test/java/org/mustardstage/core/placement/RegionSharesTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/RegionSharesTest.java
@@ -9,6 +9,7 @@
 import static org.mustardstage.core.placement.Scenes.SECOND;
 
 import java.util.Optional;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.mustardstage.core.id.RegionId;
 
@@ -43,6 +44,8 @@
     assertThat(before, greaterThan(0.5));
   }
 
+  /** See KNOWN-RED.txt. */
+  @Tag("known-red")
   @Test
   void shareThatIsSentAwayFallsWithinTheLimit() {
     double before = 0;
