--- a/core/src/main/java/org/mustardstage/core/placement/RegionShares.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RegionShares.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.mustardstage.core.id.RegionId;
 
 /**
@@ -22,7 +21,7 @@
   private static final double USED_PART = 0.75;
 
   /** By then requests have moved away from endpoints that were lost. */
-  private static final long FAILOVER_NANOS = TimeUnit.SECONDS.toNanos(4);
+  private static final long FAILOVER_NANOS = 4_000_000_000L;
 
   /** A window is counted in this many slices. */
   private static final int SLICES = 40;
--- a/core/src/main/java/org/mustardstage/core/placement/RestLimits.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RestLimits.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.mustardstage.core.manifest.HostAndPort;
 
 /**
@@ -18,7 +17,7 @@
   private static final int LIMIT_DIVISOR = 4;
 
   /** Without another reset, the usual limit holds again after this time. */
-  private static final long REMEMBERED_NANOS = TimeUnit.SECONDS.toNanos(15);
+  private static final long REMEMBERED_NANOS = 15_000_000_000L;
 
   private final Map<HostAndPort, Limit> byAddress = new HashMap<>();
   private Limit strictest = Limit.NONE;
