--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -1,14 +1,11 @@
 package org.mustardstage.core.placement;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
@@ -47,9 +44,6 @@
   private static final long MIN_RETRY_AFTER_MILLIS = 80;
   private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
 
-  /** Orders are worked out anew when this many objects were seen; it bounds memory only. */
-  private static final int MAX_ORDERS = 4_096;
-
   private static final double NANOS_PER_MILLI = 1e6;
 
   /** Callers that are turned away together come back spread around the time worked out. */
@@ -69,7 +63,7 @@
   private final WarmOdds warmOdds = new WarmOdds();
   private final Map<EndpointId, EndpointUse> endpoints = new HashMap<>();
   private final NavigableSet<Ask> waiting = new TreeSet<>(URGENT_FIRST);
-  private final Map<String, ImmutableList<ImmutableList<EndpointUse>>> orders = new HashMap<>();
+  private final ObjectOrders orders;
   private final RecentWaits recentWaits = new RecentWaits();
   private PlacementSettings settings;
   private ServiceSpec spec;
@@ -87,6 +81,7 @@
     this.settings = settings;
     this.roundTrips = roundTrips;
     this.regionShares = regionShares;
+    this.orders = new ObjectOrders(roundTrips);
   }
 
   /** Takes over new settings. */
@@ -121,16 +116,13 @@
       }
       kept.put(endpoint.id(), use);
     }
-    boolean same = kept.keySet().equals(endpoints.keySet());
     if (warmSlotsNearby(nowNanos, kept.values()) < usedSlots) {
       regionShares.onEndpointsLost(nowNanos);
     }
     endpoints.clear();
     endpoints.putAll(kept);
     usable = ImmutableList.sortedCopyOf(BY_ID, kept.values());
-    if (!same) {
-      orders.clear();
-    }
+    orders.onEndpoints(usable);
   }
 
   private int warmSlotsNearby(long nowNanos, Collection<EndpointUse> uses) {
@@ -403,7 +395,7 @@
       }
       return candidates;
     }
-    ImmutableList<ImmutableList<EndpointUse>> regions = orderOf(ask.object().get());
+    ImmutableList<ImmutableList<EndpointUse>> regions = orders.of(ask.object().get());
     int detour = 0;
     for (ImmutableList<EndpointUse> order : regions) {
       boolean near = isNear(order.getFirst());
@@ -488,35 +480,4 @@
   private record Place(int inRegion, int detour) {
     private static final Place FIRST = new Place(0, 0);
   }
-
-  /** Returns the endpoints of each region in the order in which an object uses them. */
-  private ImmutableList<ImmutableList<EndpointUse>> orderOf(String object) {
-    if (orders.size() > MAX_ORDERS) {
-      orders.clear();
-    }
-    return orders.computeIfAbsent(object, this::computeOrder);
-  }
-
-  private ImmutableList<ImmutableList<EndpointUse>> computeOrder(String object) {
-    Map<EndpointUse, Long> hashes = new HashMap<>();
-    for (EndpointUse use : usable) {
-      hashes.put(
-          use,
-          Hashing.murmur3_128()
-              .hashString(object + "/" + use.endpoint().id(), StandardCharsets.UTF_8)
-              .asLong());
-    }
-    Map<RegionId, List<EndpointUse>> byRegion = new LinkedHashMap<>();
-    usable.stream()
-        .sorted(Comparator.comparing(hashes::get))
-        .forEach(
-            use ->
-                byRegion
-                    .computeIfAbsent(
-                        roundTrips.regionOf(use.endpoint().zone()), region -> new ArrayList<>())
-                    .add(use));
-    return byRegion.values().stream()
-        .map(ImmutableList::copyOf)
-        .collect(ImmutableList.toImmutableList());
-  }
 }
