--- a/model/src/test/java/org/mustardstage/model/Tlc.java
+++ b/model/src/test/java/org/mustardstage/model/Tlc.java
@@ -24,6 +24,11 @@
 final class Tlc {
   private static final Path SPECIFICATIONS = Path.of("src", "main", "tla");
   private static final int WORKERS = 1;
+
+  /** Which of its fingerprint functions TLC uses; it would draw one for each run. */
+  private static final int FINGERPRINT = 20;
+
+  private static final long SEED = -8_299_162_601_190_443_395L;
   private static final Map<String, ClassLoader> LOADERS = new HashMap<>();
 
   private Tlc() {}
@@ -80,6 +85,10 @@
     String[] arguments = {
       "-workers",
       Integer.toString(WORKERS),
+      "-fp",
+      Integer.toString(FINGERPRINT),
+      "-seed",
+      Long.toString(SEED),
       "-metadir",
       directory.toString(),
       "-config",
