--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -7,8 +7,6 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Base64;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +32,6 @@
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.Membership;
 import org.mustardstage.core.member.MembershipSettings;
-import org.mustardstage.core.member.Representatives;
 import org.mustardstage.core.placement.EndpointRegister;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
@@ -56,12 +53,6 @@
   private static final long ANNOUNCE_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final long SILENT_PERIODS = 4;
 
-  /** Leaves time to tell the others' news within the shortest bound on endpoints that leave. */
-  private static final long ASK_PEERS_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
-  /** One of them may be cut off as well. */
-  private static final int ASKED_AT_ONCE = 2;
-
   /** A VM that has run for this long has heard of every region that still has VMs. */
   private static final long HEARD_OF_ALL_NANOS = TimeUnit.SECONDS.toNanos(6);
 
@@ -71,9 +62,6 @@
   /** Endpoints write all the time; others are told twice a second that the reader still reads. */
   private static final RowFollower.Pace ENDPOINT_PACE = new RowFollower.Pace(500, 500);
 
-  /** How many VMs of a region read the store and pass on what changes; one of them may fail. */
-  private static final int READERS_OF_REGION = 2;
-
   private final GatewaySettings settings;
   private final Deployment deployment;
   private final Eventloop eventloop;
@@ -84,7 +72,7 @@
   private final VmList vmList;
   private final RowFollower operatorRows;
   private final RowFollower endpointRows;
-  private final Map<Deployment.Feed, Long> passedOnVersions = new EnumMap<>(Deployment.Feed.class);
+  private final RowExchange rowExchange;
   private final long createdNanos = System.nanoTime();
   private final EndpointRegister register = new EndpointRegister();
   private final Beliefs beliefs;
@@ -99,8 +87,6 @@
   private long listReadNanos = Long.MIN_VALUE / 2;
   private long announcedNanos = Long.MIN_VALUE / 2;
   private boolean announced;
-  private long askedPeersNanos = Long.MIN_VALUE / 2;
-  private int nextAsked;
   private long linksCheckedNanos = Long.MIN_VALUE / 2;
 
   /** Is told, on the control thread, what this VM believes. */
@@ -157,6 +143,13 @@
             timer,
             this::readEndpoint,
             new EndpointListener());
+    this.rowExchange =
+        new RowExchange(
+            settings.vm(),
+            settings.region(),
+            ImmutableMap.of(
+                Deployment.Feed.OPERATOR, operatorRows, Deployment.Feed.ENDPOINTS, endpointRows),
+            network::send);
   }
 
   void start() throws IOException {
@@ -203,90 +196,11 @@
     if (register.onTick(nowNanos)) {
       publishEndpoints();
     }
-    chooseReaders(nowNanos);
-    operatorRows.onTick(nowNanos);
-    endpointRows.onTick(nowNanos);
-    askPeersForRows(nowNanos);
+    rowExchange.onTick(nowNanos, memberView.get(), leaving);
     readVmList(nowNanos);
     announceSelf(nowNanos);
   }
 
-  private void chooseReaders(long nowNanos) {
-    boolean isReader = leaving || isReader(self, nearVms());
-    operatorRows.setReader(nowNanos, isReader);
-    endpointRows.setReader(nowNanos, isReader);
-  }
-
-  private static boolean isReader(Member member, List<Member> near) {
-    return Representatives.isAmongFirst(READERS_OF_REGION, "store", member, near);
-  }
-
-  /** Returns the VMs of the own region that are believed alive and stay. */
-  private ImmutableList<Member> nearVms() {
-    return memberView.get().statuses().stream()
-        .filter(MemberStatus::takesCallers)
-        .map(MemberStatus::member)
-        .filter(member -> member.region().equals(self.region()))
-        .collect(ImmutableList.toImmutableList());
-  }
-
-  /** Passes on what the store has told this VM, or that nothing has changed, to those nearby. */
-  private void passOn(Deployment.Feed feed, RowFollower follower) {
-    ImmutableList<Member> near = nearVms();
-    if (leaving || !isReader(self, near)) {
-      return;
-    }
-    long afterVersion = passedOnVersions.getOrDefault(feed, 0L);
-    passedOnVersions.put(feed, follower.version());
-    PeerMessage news = known(feed, follower, afterVersion, /* current= */ true);
-    for (Member member : near) {
-      if (!member.vm().equals(settings.vm()) && !isReader(member, near)) {
-        network.send(member, news);
-      }
-    }
-  }
-
-  private static PeerMessage known(
-      Deployment.Feed feed, RowFollower follower, long afterVersion, boolean current) {
-    List<PeerMessage.KnownRow> rows =
-        follower.changedSince(afterVersion).stream()
-            .map(
-                row ->
-                    new PeerMessage.KnownRow(
-                        row.key(),
-                        row.version(),
-                        row.value().map(Base64.getEncoder()::encodeToString)))
-            .toList();
-    return new PeerMessage.RowsKnown(feed.name(), afterVersion, follower.version(), current, rows);
-  }
-
-  /** While the store can't be reached from here, asks one VM after the other what it has heard. */
-  private void askPeersForRows(long nowNanos) {
-    boolean cutOff = !operatorRows.storeAnswers() || !endpointRows.storeAnswers();
-    if (!cutOff || nowNanos - askedPeersNanos < ASK_PEERS_NANOS) {
-      return;
-    }
-    askedPeersNanos = nowNanos;
-    List<Member> others =
-        memberView.get().statuses().stream()
-            .filter(MemberStatus::isAlive)
-            .map(MemberStatus::member)
-            .filter(member -> !member.vm().equals(settings.vm()))
-            .toList();
-    if (others.isEmpty()) {
-      return;
-    }
-    for (int i = 0; i < ASKED_AT_ONCE; i++) {
-      Member peer = others.get(Math.floorMod(nextAsked++, others.size()));
-      ask(peer, Deployment.Feed.OPERATOR, operatorRows);
-      ask(peer, Deployment.Feed.ENDPOINTS, endpointRows);
-    }
-  }
-
-  private void ask(Member peer, Deployment.Feed feed, RowFollower follower) {
-    network.send(peer, new PeerMessage.RowsWanted(feed.name(), follower.version()));
-  }
-
   private void readVmList(long nowNanos) {
     boolean alone = memberView.get().statuses().size() <= 1;
     if (nowNanos - listReadNanos < LIST_NANOS || !alone) {
@@ -529,7 +443,7 @@
 
     @Override
     public void onRead() {
-      passOn(Deployment.Feed.OPERATOR, operatorRows);
+      rowExchange.onRead(Deployment.Feed.OPERATOR, memberView.get(), leaving);
     }
   }
 
@@ -550,7 +464,7 @@
 
     @Override
     public void onRead() {
-      passOn(Deployment.Feed.ENDPOINTS, endpointRows);
+      rowExchange.onRead(Deployment.Feed.ENDPOINTS, memberView.get(), leaving);
     }
   }
 
@@ -577,52 +491,12 @@
         case PeerMessage.Hello hello -> onHello(hello.member());
         case PeerMessage.OfMembership of ->
             run(membership.onMessage(clock.getAsLong(), from, of.message()));
-        case PeerMessage.RowsWanted wanted -> onRowsWanted(from, wanted);
-        case PeerMessage.RowsKnown known -> onRowsKnown(from, known);
+        case PeerMessage.RowsWanted wanted -> rowExchange.onWanted(from, wanted);
+        case PeerMessage.RowsKnown known -> rowExchange.onKnown(clock.getAsLong(), from, known);
         default -> EventLog.log(Event.BAD_FRAME, "vm", from.incarnation(), "why", "not used here");
       }
     }
 
-    private void onRowsWanted(Member from, PeerMessage.RowsWanted wanted) {
-      RowFollower follower = followerOf(wanted.table());
-      if (!follower.isWholeKnown() || follower.version() <= wanted.afterVersion()) {
-        return;
-      }
-      network.send(
-          from,
-          known(feedOf(wanted.table()), follower, wanted.afterVersion(), /* current= */ false));
-    }
-
-    private void onRowsKnown(Member from, PeerMessage.RowsKnown known) {
-      List<StoredRow> rows =
-          known.rows().stream()
-              .map(
-                  row ->
-                      new StoredRow(
-                          row.key(), row.version(), row.value().map(Base64.getDecoder()::decode)))
-              .toList();
-      RowFollower follower = followerOf(known.table());
-      boolean complete =
-          follower.onPeerRows(
-              clock.getAsLong(),
-              known.afterVersion(),
-              new RowStore.Rows(rows, known.version()),
-              known.current());
-      if (!complete) {
-        ask(from, feedOf(known.table()), follower);
-      }
-    }
-
-    private Deployment.Feed feedOf(String table) {
-      return table.equals(Deployment.Feed.OPERATOR.name())
-          ? Deployment.Feed.OPERATOR
-          : Deployment.Feed.ENDPOINTS;
-    }
-
-    private RowFollower followerOf(String table) {
-      return feedOf(table) == Deployment.Feed.OPERATOR ? operatorRows : endpointRows;
-    }
-
     @Override
     public long silentAfterNanos(Member member) {
       long periodNanos =
