--- a/core/src/main/java/org/mustardstage/core/gateway/RegisteredEndpoint.java
+++ b/core/src/main/java/org/mustardstage/core/gateway/RegisteredEndpoint.java
@@ -38,6 +38,12 @@
         coldRemainingMillis);
   }
 
+  /** Returns this entry as that of an endpoint that is about to stop. */
+  public RegisteredEndpoint asDraining() {
+    return new RegisteredEndpoint(
+        id, service, address, zone, slots, true, coldRemainingMillis, startTimeMillis);
+  }
+
   /** Returns whether {@code other} is the same process at the same address for the same service. */
   public boolean isSameIncarnationAs(RegisteredEndpoint other) {
     return id.equals(other.id)
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointRegistry.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointRegistry.java
@@ -20,6 +20,10 @@
  * <p>Tolerates an outage of the platform's registry: entries that expire while it is unavailable
  * are written again by their endpoints soon after it recovers. During the outage and the recovery,
  * an endpoint whose entry is missing stays usable; at other times it is removed immediately.
+ *
+ * <p>An incarnation that was once known as leaving stays so, whether its entry or one of its
+ * responses said it. Tolerates a registry that is restored from an older copy: for a while after
+ * that, entries of incarnations that were removed or replaced before are not believed.
  */
 public final class EndpointRegistry {
   /** How long after the registry's recovery an expired entry may still be missing. */
@@ -28,8 +32,24 @@
   /** How long an endpoint is treated as cold after an evacuation, until its entry says so. */
   private static final long COLD_AFTER_EVACUATION_NANOS = 3_000_000_000L;
 
+  /**
+   * How long entries of removed or replaced incarnations are not believed after the registry was
+   * restored from an older copy. By then the registry has removed the entries that are not renewed.
+   */
+  private static final long RESTORE_GRACE_NANOS = 30_000_000_000L;
+
+  /** How long removed and leaving incarnations are remembered. */
+  private static final long DEPARTURE_MEMORY_NANOS = 600_000_000_000L;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  private final Map<EndpointId, Departure> removed = new HashMap<>();
+  private final Map<EndpointId, Departure> leaving = new HashMap<>();
+
+  /** Entries that are not believed until {@link #restoreGraceEndNanos}. */
+  private final Map<EndpointId, RegisteredEndpoint> unconfirmed = new HashMap<>();
+
+  private long restoreGraceEndNanos = Long.MIN_VALUE / 2;
   private final Map<EndpointId, Entry> entries = new HashMap<>();
   private final Map<EndpointId, Long> missingSinceNanos = new HashMap<>();
   private final Set<ZoneId> evacuatedZones = new HashSet<>();
@@ -37,6 +57,13 @@
   private boolean registryAvailable = true;
   private long availableSinceNanos = Long.MIN_VALUE / 2;
 
+  /** An incarnation of an endpoint that has left or is leaving. */
+  private record Departure(long startTimeMillis, long recordedNanos) {
+    boolean isOf(RegisteredEndpoint endpoint) {
+      return startTimeMillis == endpoint.startTimeMillis();
+    }
+  }
+
   private static final class Entry {
     private final RegisteredEndpoint endpoint;
     private final long coldUntilNanos;
@@ -55,14 +82,60 @@
     registryAvailable = available;
   }
 
+  /**
+   * Records that the registry was restored from an older copy, in which entries are missing that
+   * will be written again, and others are back that were removed.
+   */
+  public void onRegistryRestored(long nowNanos) {
+    availableSinceNanos = nowNanos;
+    restoreGraceEndNanos = nowNanos + RESTORE_GRACE_NANOS;
+  }
+
+  /**
+   * Records that an incarnation said in a response that it is leaving.
+   *
+   * @return whether this was not known before
+   */
+  public boolean markLeaving(long nowNanos, LeavingEndpoint endpoint) {
+    Departure known =
+        leaving.put(endpoint.id(), new Departure(endpoint.startTimeMillis(), nowNanos));
+    return known == null || known.startTimeMillis() != endpoint.startTimeMillis();
+  }
+
+  /** Returns the incarnations that are known to be leaving from their responses. */
+  public ImmutableList<LeavingEndpoint> leavingEndpoints() {
+    return leaving.entrySet().stream()
+        .map(entry -> new LeavingEndpoint(entry.getKey(), entry.getValue().startTimeMillis()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /**
    * Stores an entry.
    *
-   * @return whether the endpoint is new, has restarted or has started or stopped draining; false
-   *     for a mere heartbeat
+   * @return whether the endpoint is new, has restarted, has started to drain, or has another number
+   *     of slots; false for a mere heartbeat
    */
   public boolean updateEntry(long nowNanos, RegisteredEndpoint endpoint) {
+    if (nowNanos - restoreGraceEndNanos < 0 && isOutdated(endpoint)) {
+      unconfirmed.put(endpoint.id(), endpoint);
+      return false;
+    }
+    unconfirmed.remove(endpoint.id());
+    return storeEntry(nowNanos, endpoint);
+  }
+
+  /** Returns whether the incarnation was removed, or replaced by a later one. */
+  private boolean isOutdated(RegisteredEndpoint endpoint) {
+    Departure departure = removed.get(endpoint.id());
+    Entry known = entries.get(endpoint.id());
+    return (departure != null && departure.isOf(endpoint))
+        || (known != null && known.endpoint.startTimeMillis() > endpoint.startTimeMillis());
+  }
+
+  private boolean storeEntry(long nowNanos, RegisteredEndpoint declared) {
+    RegisteredEndpoint endpoint = declared;
     missingSinceNanos.remove(endpoint.id());
+    removed.remove(endpoint.id());
     long coldUntilNanos = nowNanos + endpoint.coldRemainingMillis() * NANOS_PER_MILLI;
     Entry known = entries.get(endpoint.id());
     boolean sameIncarnation = known != null && known.endpoint.isSameIncarnationAs(endpoint);
@@ -71,17 +144,23 @@
         && known.coldUntilNanos - nowNanos > 0) {
       coldUntilNanos = Math.min(coldUntilNanos, known.coldUntilNanos);
     }
+    if (sameIncarnation && known.endpoint.draining()) {
+      endpoint = endpoint.asDraining();
+    }
     entries.put(endpoint.id(), new Entry(endpoint, coldUntilNanos));
-    return !sameIncarnation || known.endpoint.draining() != endpoint.draining();
+    return !sameIncarnation
+        || known.endpoint.draining() != endpoint.draining()
+        || known.endpoint.slots() != endpoint.slots();
   }
 
   /**
    * Removes an endpoint whose entry is missing or unreadable. While the registry is unavailable or
-   * recovering, only marks it as missing, for {@link #removeMissingEntries}.
+   * recovering, only marks it as missing, for {@link #onTick}.
    *
    * @return whether the endpoint was removed
    */
   public boolean removeEntry(long nowNanos, EndpointId id) {
+    unconfirmed.remove(id);
     if (!entries.containsKey(id)) {
       return false;
     }
@@ -89,10 +168,17 @@
       missingSinceNanos.putIfAbsent(id, nowNanos);
       return false;
     }
-    entries.remove(id);
+    remove(nowNanos, id);
     return true;
   }
 
+  private void remove(long nowNanos, EndpointId id) {
+    Entry entry = entries.remove(id);
+    if (entry != null) {
+      removed.put(id, new Departure(entry.endpoint.startTimeMillis(), nowNanos));
+    }
+  }
+
   private boolean isRecovering(long nowNanos) {
     return !registryAvailable || nowNanos - availableSinceNanos < RECOVERY_NANOS;
   }
@@ -113,17 +199,31 @@
   }
 
   /**
-   * Removes the endpoints that are still missing after the registry's recovery.
+   * Removes the endpoints that are still missing after the registry's recovery, and believes the
+   * entries that a restored registry still has after the grace period.
    *
-   * @return whether any were missing
+   * @return whether anything changed
    */
-  public boolean removeMissingEntries(long nowNanos) {
-    if (isRecovering(nowNanos) || missingSinceNanos.isEmpty()) {
-      return false;
+  public boolean onTick(long nowNanos) {
+    removed.values().removeIf(departure -> isForgotten(nowNanos, departure));
+    leaving.values().removeIf(departure -> isForgotten(nowNanos, departure));
+    boolean changed = false;
+    if (nowNanos - restoreGraceEndNanos >= 0 && !unconfirmed.isEmpty()) {
+      List<RegisteredEndpoint> confirmed = ImmutableList.copyOf(unconfirmed.values());
+      unconfirmed.clear();
+      confirmed.forEach(endpoint -> storeEntry(nowNanos, endpoint));
+      changed = true;
     }
-    missingSinceNanos.keySet().forEach(entries::remove);
-    missingSinceNanos.clear();
-    return true;
+    if (!isRecovering(nowNanos) && !missingSinceNanos.isEmpty()) {
+      missingSinceNanos.keySet().forEach(id -> remove(nowNanos, id));
+      missingSinceNanos.clear();
+      changed = true;
+    }
+    return changed;
+  }
+
+  private static boolean isForgotten(long nowNanos, Departure departure) {
+    return nowNanos - departure.recordedNanos() > DEPARTURE_MEMORY_NANOS;
   }
 
   /** Returns the endpoints of {@code service} that may receive new requests. */
@@ -131,9 +231,7 @@
     List<UsableEndpoint> usable = new ArrayList<>();
     for (Entry entry : entries.values()) {
       RegisteredEndpoint endpoint = entry.endpoint;
-      if (endpoint.service().equals(service)
-          && !endpoint.draining()
-          && !evacuatedZones.contains(endpoint.zone())) {
+      if (endpoint.service().equals(service) && isUsable(endpoint)) {
         usable.add(new UsableEndpoint(endpoint, coldUntilNanos(entry)));
       }
     }
@@ -150,9 +248,14 @@
 
   /** Returns whether the endpoint {@code id} may receive new requests. */
   public boolean isUsable(EndpointId id) {
-    return find(id)
-        .filter(endpoint -> !endpoint.draining() && !evacuatedZones.contains(endpoint.zone()))
-        .isPresent();
+    return find(id).filter(this::isUsable).isPresent();
+  }
+
+  private boolean isUsable(RegisteredEndpoint endpoint) {
+    Departure departure = leaving.get(endpoint.id());
+    return !endpoint.draining()
+        && (departure == null || !departure.isOf(endpoint))
+        && !evacuatedZones.contains(endpoint.zone());
   }
 
   /** Returns the entry of the endpoint {@code id}. */
--- a/core/src/test/java/org/mustardstage/core/placement/EndpointRegistryTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/EndpointRegistryTest.java
@@ -88,7 +88,7 @@
     nowNanos += NANOS_PER_SECOND;
     registry.updateEntry(nowNanos, FIRST_ENDPOINT);
     nowNanos += 2 * NANOS_PER_SECOND;
-    assertThat(registry.removeMissingEntries(nowNanos), is(true));
+    assertThat(registry.onTick(nowNanos), is(true));
 
     assertThat(registry.isUsable(FIRST_ENDPOINT.id()), is(true));
     assertThat(registry.isUsable(SECOND_ENDPOINT.id()), is(false));
@@ -108,6 +108,87 @@
         greaterThan(nowNanos));
   }
 
+  @Test
+  void incarnationThatWasDrainingStaysSo() {
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT.asDraining());
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT);
+    assertThat(registry.isUsable(FIRST_ENDPOINT.id()), is(false));
+
+    registry.updateEntry(
+        nowNanos, PlacementFixtures.endpoint("first", PlacementFixtures.OWN_ZONE, 9, 2));
+    assertThat(registry.isUsable(FIRST_ENDPOINT.id()), is(true));
+  }
+
+  @Test
+  void incarnationThatSaidThatItIsLeavingIsNotUsable() {
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT);
+
+    assertThat(registry.markLeaving(nowNanos, LeavingEndpoint.of(FIRST_ENDPOINT)), is(true));
+    assertThat(registry.markLeaving(nowNanos, LeavingEndpoint.of(FIRST_ENDPOINT)), is(false));
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT);
+    assertThat(registry.isUsable(FIRST_ENDPOINT.id()), is(false));
+
+    registry.updateEntry(
+        nowNanos, PlacementFixtures.endpoint("first", PlacementFixtures.OWN_ZONE, 9, 2));
+    assertThat(registry.isUsable(FIRST_ENDPOINT.id()), is(true));
+  }
+
+  /** The restored copy still has an endpoint that has left, and is too old for another one. */
+  @Test
+  void restoredRegistryNeitherRevivesNorRemovesEndpoints() {
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT);
+    registry.updateEntry(nowNanos, SECOND_ENDPOINT);
+    registry.removeEntry(nowNanos, FIRST_ENDPOINT.id());
+    nowNanos += NANOS_PER_SECOND;
+
+    registry.onRegistryRestored(nowNanos);
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT);
+    registry.removeEntry(nowNanos, SECOND_ENDPOINT.id());
+    assertThat(registry.isUsable(FIRST_ENDPOINT.id()), is(false));
+    assertThat(registry.isUsable(SECOND_ENDPOINT.id()), is(true));
+
+    nowNanos += NANOS_PER_SECOND;
+    registry.updateEntry(nowNanos, SECOND_ENDPOINT);
+    nowNanos += 3 * NANOS_PER_SECOND;
+    registry.onTick(nowNanos);
+    assertThat(registry.isUsable(FIRST_ENDPOINT.id()), is(false));
+    assertThat(registry.isUsable(SECOND_ENDPOINT.id()), is(true));
+  }
+
+  @Test
+  void entryThatARestoredRegistryKeepsIsBelievedInTheEnd() {
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT);
+    registry.removeEntry(nowNanos, FIRST_ENDPOINT.id());
+    registry.onRegistryRestored(nowNanos);
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT);
+    nowNanos += 31 * NANOS_PER_SECOND;
+
+    assertThat(registry.onTick(nowNanos), is(true));
+    assertThat(registry.isUsable(FIRST_ENDPOINT.id()), is(true));
+  }
+
+  @Test
+  void earlierIncarnationInARestoredRegistryDoesNotReplaceALaterOne() {
+    RegisteredEndpoint later =
+        PlacementFixtures.endpoint("first", PlacementFixtures.OWN_ZONE, 9, 2);
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT);
+    registry.updateEntry(nowNanos, later);
+    registry.onRegistryRestored(nowNanos);
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT);
+
+    assertThat(registry.find(FIRST_ENDPOINT.id()).orElseThrow(), is(later));
+  }
+
+  @Test
+  void changeOfSlotsAloneIsReported() {
+    registry.updateEntry(nowNanos, FIRST_ENDPOINT);
+
+    assertThat(
+        registry.updateEntry(
+            nowNanos, PlacementFixtures.endpoint("first", PlacementFixtures.OWN_ZONE, 5)),
+        is(true));
+  }
+
   @Test
   void unknownEndpointIsNotUsable() {
     assertThat(registry.isUsable(new EndpointId("nobody")), is(false));
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -424,17 +424,18 @@
         case PeerMessage.ConfigObjects objects -> config.storeObjects(from, objects);
         case PeerMessage.RowsRequest request -> logUnexpectedRows(from);
         case PeerMessage.RowsUpdate update -> logUnexpectedRows(from);
+        case PeerMessage.EndpointsLeaving leaving -> logUnexpectedRows(from);
       }
     }
 
-    /** Logs a table row message, which only gateway VMs exchange; they run without manifests. */
+    /** Logs a message that only gateway VMs exchange; they run without manifests. */
     private void logUnexpectedRows(Member from) {
       EventLog.log(
           Event.BAD_FRAME,
           "vm",
           from.incarnation(),
           "why",
-          "unexpected table row message: only gateway VMs exchange rows");
+          "unexpected message about rows or endpoints: only gateway VMs exchange them");
     }
 
     private void applyMembershipMessage(Member from, PeerMessage.Membership membershipMessage) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -2,16 +2,11 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import io.activej.eventloop.Eventloop;
-import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -19,7 +14,7 @@
 import java.util.function.Predicate;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
-import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.gateway.StorePosition;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.id.VmIncarnation;
@@ -32,7 +27,7 @@
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.Membership;
 import org.mustardstage.core.member.MembershipSettings;
-import org.mustardstage.core.placement.EndpointRegistry;
+import org.mustardstage.core.placement.LeavingEndpoint;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
 import org.mustardstage.entry.log.Event;
@@ -51,7 +46,6 @@
   private static final long TICK_MILLIS = 100;
   private static final long LINK_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   private static final long VM_LIST_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
-  private static final long ANNOUNCE_RETRY_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final long MISSED_HEARTBEATS_UNTIL_SILENT = 4;
 
   /** A VM that has run for this long knows the members of every region that still has VMs. */
@@ -72,7 +66,6 @@
       new TableReplica.PollSettings(500, 500);
 
   private final GatewaySettings settings;
-  private final PlatformAdapter adapter;
   private final Eventloop eventloop;
   private final LongSupplier clock = System::nanoTime;
   private final MembershipSettings membershipSettings = MembershipSettings.forSmallVms();
@@ -83,30 +76,17 @@
   private final TableReplica endpointTable;
   private final RowReplicator rowReplicator;
   private final long createdNanos = System.nanoTime();
-  private final EndpointRegistry endpointRegistry = new EndpointRegistry();
   private final StateListener stateListener;
-  private ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> publishedEndpoints =
-      ImmutableMap.of();
-  private final Map<String, ZoneId> evacuations = new HashMap<>();
-  private final AtomicReference<Optional<GatewayConfig>> config =
-      new AtomicReference<>(Optional.empty());
+  private final DeploymentState deployment;
+  private final StoreAnnouncement announcement = new StoreAnnouncement();
   private final AtomicReference<MemberView> memberView;
   private Member self;
-  private volatile boolean endpointsKnown;
   private volatile boolean leaving;
   private long lastVmListReadNanos = Long.MIN_VALUE / 2;
-  private long lastAnnounceNanos = Long.MIN_VALUE / 2;
-  private boolean announced;
   private long lastLinkCheckNanos = Long.MIN_VALUE / 2;
 
   /** Receives changes of the control state, on the control thread. */
-  interface StateListener {
-    /** Called when a newer version of the configuration becomes active. */
-    void onConfig(GatewayConfig config);
-
-    /** Called when the endpoints that may receive new requests have changed. */
-    void onEndpoints(ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> usable);
-
+  interface StateListener extends DeploymentState.Listener {
     /** Called when the view of the VMs has changed. */
     void onMembers(MemberView view);
   }
@@ -118,7 +98,7 @@
       StateListener stateListener) {
     this.stateListener = stateListener;
     this.settings = settings;
-    this.adapter = adapter;
+    this.deployment = new DeploymentState(adapter, clock, new DeploymentListener());
     this.self =
         new Member(
             new VmIncarnation(settings.vm(), incarnationNumber),
@@ -154,7 +134,7 @@
             PlatformAdapter.Table.ENDPOINTS,
             ENDPOINT_POLL_SETTINGS,
             scheduler,
-            this::readEndpoint,
+            deployment::readEndpoint,
             new EndpointListener());
     this.rowReplicator =
         new RowReplicator(
@@ -191,7 +171,7 @@
   }
 
   Optional<GatewayConfig> config() {
-    return config.get();
+    return deployment.config();
   }
 
   private void tick() {
@@ -209,9 +189,7 @@
       lastLinkCheckNanos = nowNanos;
       network.closeSilentLinks();
     }
-    if (endpointRegistry.removeMissingEntries(nowNanos)) {
-      publishEndpoints();
-    }
+    deployment.onTick(nowNanos);
     rowReplicator.onTick(nowNanos, memberView.get(), leaving);
     readVmList(nowNanos);
     announceSelf(nowNanos);
@@ -230,15 +208,28 @@
   }
 
   /**
-   * Writes this incarnation to the list of VMs, once. From then on, the other VMs learn about it by
-   * membership messages.
+   * Writes this incarnation to the list of VMs, once in each era of the store. From then on, the
+   * other VMs learn about it by membership messages.
    */
   private void announceSelf(long nowNanos) {
-    if (announced || nowNanos - lastAnnounceNanos < ANNOUNCE_RETRY_INTERVAL_NANOS) {
-      return;
+    long era = Math.max(operatorTable.position().era(), endpointTable.position().era());
+    if (announcement.tryNow(nowNanos, era)) {
+      vmList
+          .announce(self)
+          .whenResult(result -> result.peek(stored -> announcement.onAcknowledged(era)));
     }
-    lastAnnounceNanos = nowNanos;
-    vmList.announce(self).whenResult(result -> announced |= result.isRight());
+  }
+
+  /** Tells the other VMs that an endpoint said in a response that it is leaving. */
+  void onEndpointLeaving(RegisteredEndpoint endpoint) {
+    eventloop.execute(
+        () -> {
+          ImmutableList<LeavingEndpoint> unknown =
+              deployment.markLeaving(ImmutableList.of(LeavingEndpoint.of(endpoint)));
+          if (!unknown.isEmpty()) {
+            rowReplicator.sendToRegion(memberView.get(), new PeerMessage.EndpointsLeaving(unknown));
+          }
+        });
   }
 
   private void execute(List<MemberAction> actions) {
@@ -265,12 +256,12 @@
 
   @Override
   public boolean isReady() {
-    return !leaving && config.get().isPresent() && endpointsKnown;
+    return !leaving && deployment.isComplete();
   }
 
   @Override
   public boolean isHostConfigured(String host) {
-    return config.get().filter(active -> active.hasHost(host)).isPresent();
+    return deployment.config().filter(active -> active.hasHost(host)).isPresent();
   }
 
   @Override
@@ -327,137 +318,34 @@
     eventloop.execute(eventloop::breakEventloop);
   }
 
-  private void onOperatorRows(List<StoredRow> changed) {
-    long nowNanos = clock.getAsLong();
-    for (StoredRow row : changed) {
-      if (row.value().isEmpty()) {
-        evacuations.remove(row.key());
-        continue;
-      }
-      Either<String, PlatformAdapter.OperatorRow> read =
-          adapter.readOperatorRow(row.key(), row.value().get());
-      if (read.isLeft()) {
-        EventLog.log(
-            Event.ROW_UNREADABLE,
-            "table",
-            PlatformAdapter.Table.OPERATOR,
-            "key",
-            row.key(),
-            "version",
-            row.version(),
-            "why",
-            read.getLeft());
-        continue;
-      }
-      switch (read.get()) {
-        case PlatformAdapter.OperatorRow.Config declared -> onConfig(declared.config());
-        case PlatformAdapter.OperatorRow.Evacuation evacuation ->
-            evacuations.put(row.key(), evacuation.zone());
-        case PlatformAdapter.OperatorRow.Other other -> {}
-      }
-    }
-    Set<ZoneId> zones = ImmutableSet.copyOf(evacuations.values());
-    if (endpointRegistry.setEvacuatedZones(nowNanos, zones)) {
-      EventLog.log(Event.EVACUATIONS_CHANGED, "zones", zones);
+  private final class DeploymentListener implements DeploymentState.Listener {
+    @Override
+    public void onConfig(GatewayConfig newer) {
+      membership.setConfigVersion(newer.version());
+      stateListener.onConfig(newer);
     }
-    publishEndpoints();
-  }
 
-  private void publishEndpoints() {
-    ImmutableMap.Builder<ServiceName, ImmutableList<UsableEndpoint>> byService =
-        ImmutableMap.builder();
-    config
-        .get()
-        .ifPresent(
-            active ->
-                active
-                    .services()
-                    .keySet()
-                    .forEach(
-                        service ->
-                            byService.put(service, endpointRegistry.usableEndpoints(service))));
-    ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> usable = byService.buildOrThrow();
-    if (!usable.equals(publishedEndpoints)) {
-      publishedEndpoints = usable;
+    @Override
+    public void onEndpoints(ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> usable) {
       stateListener.onEndpoints(usable);
     }
   }
 
-  private void onConfig(GatewayConfig newer) {
-    Optional<GatewayConfig> active = config.get();
-    if (active.isPresent() && active.get().version().compareTo(newer.version()) >= 0) {
-      return;
-    }
-    config.set(Optional.of(newer));
-    membership.setConfigVersion(newer.version());
-    stateListener.onConfig(newer);
-    publishEndpoints();
-    EventLog.log(Event.CONFIG_IN_FORCE, "version", newer.version());
-  }
-
-  private void onEndpointRows(List<StoredRow> changed) {
-    long nowNanos = clock.getAsLong();
-    for (StoredRow row : changed) {
-      Either<String, RegisteredEndpoint> read = readEndpoint(row);
-      if (read.isRight()) {
-        if (endpointRegistry.updateEntry(nowNanos, read.get())) {
-          RegisteredEndpoint endpoint = read.get();
-          EventLog.log(
-              endpoint.draining() ? Event.ENDPOINT_LEAVING : Event.ENDPOINT_REGISTERED,
-              "endpoint",
-              endpoint.id(),
-              "service",
-              endpoint.service(),
-              "address",
-              endpoint.address(),
-              "zone",
-              endpoint.zone(),
-              "coldLeftMillis",
-              endpoint.coldRemainingMillis(),
-              "rowVersion",
-              row.version());
-        }
-        continue;
-      }
-      removeEndpoint(nowNanos, row, read.getLeft());
-    }
-    endpointsKnown = true;
-    publishEndpoints();
-  }
-
-  private Either<String, RegisteredEndpoint> readEndpoint(StoredRow row) {
-    return row.value().isEmpty()
-        ? Either.left("the row was removed from the table")
-        : adapter.readEndpoint(row.key(), row.value().get());
+  private void onStoreRestored(
+      PlatformAdapter.Table table, StorePosition before, StorePosition now) {
+    EventLog.log(Event.STORE_RESTORED, "table", table, "before", before, "now", now);
+    deployment.onStoreRestored(table);
   }
 
-  private void removeEndpoint(long nowNanos, StoredRow row, String reason) {
-    EndpointId id;
-    try {
-      id = new EndpointId(row.key());
-    } catch (IllegalArgumentException e) {
-      EventLog.log(
-          Event.ROW_UNREADABLE,
-          "table",
-          PlatformAdapter.Table.ENDPOINTS,
-          "key",
-          row.key(),
-          "version",
-          row.version(),
-          "why",
-          e.getMessage());
-      return;
-    }
-    if (endpointRegistry.removeEntry(nowNanos, id)) {
-      EventLog.log(
-          Event.ENDPOINT_LEAVING, "endpoint", id, "why", reason, "rowVersion", row.version());
+  private final class OperatorListener implements TableReplica.Listener {
+    @Override
+    public void onStoreRestored(StorePosition before, StorePosition now) {
+      GatewayControl.this.onStoreRestored(PlatformAdapter.Table.OPERATOR, before, now);
     }
-  }
 
-  private final class OperatorListener implements TableReplica.Listener {
     @Override
     public void onRowsChanged(List<StoredRow> changed, boolean loaded) {
-      onOperatorRows(changed);
+      deployment.applyOperatorRows(changed);
     }
 
     @Override
@@ -472,14 +360,19 @@
   }
 
   private final class EndpointListener implements TableReplica.Listener {
+    @Override
+    public void onStoreRestored(StorePosition before, StorePosition now) {
+      GatewayControl.this.onStoreRestored(PlatformAdapter.Table.ENDPOINTS, before, now);
+    }
+
     @Override
     public void onRowsChanged(List<StoredRow> changed, boolean loaded) {
-      onEndpointRows(changed);
+      deployment.applyEndpointRows(changed);
     }
 
     @Override
     public void onStoreReachabilityChanged(boolean reachable, Optional<PlatformFailure> failure) {
-      endpointRegistry.setRegistryAvailable(clock.getAsLong(), reachable);
+      deployment.setRegistryAvailable(reachable);
       if (!reachable) {
         operatorTable.replaceWaitingCall();
       }
@@ -507,6 +400,15 @@
     @Override
     public void onHello(Member from) {
       execute(membership.addPeer(clock.getAsLong(), from));
+      sendLeavingEndpoints(from);
+    }
+
+    /** Tells a VM that may have just started what no row of the store says. */
+    private void sendLeavingEndpoints(Member to) {
+      ImmutableList<LeavingEndpoint> leavingEndpoints = deployment.leavingEndpoints();
+      if (!leavingEndpoints.isEmpty()) {
+        network.send(to, new PeerMessage.EndpointsLeaving(leavingEndpoints));
+      }
     }
 
     @Override
@@ -518,6 +420,8 @@
         case PeerMessage.RowsRequest wanted -> rowReplicator.onRowsWanted(from, wanted);
         case PeerMessage.RowsUpdate known ->
             rowReplicator.onRowsKnown(clock.getAsLong(), from, known);
+        case PeerMessage.EndpointsLeaving endpoints ->
+            deployment.markLeaving(endpoints.endpoints());
         default ->
             EventLog.log(
                 Event.BAD_FRAME,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/HeaderNames.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/HeaderNames.java
@@ -9,6 +9,7 @@
  * @param endpointSeal the endpoint's proof that it produced the response
  * @param notExecuted present if the endpoint did not run the request
  * @param load the endpoint's running requests, queued requests and slots
+ * @param leaving present in the responses of an endpoint that is about to stop
  * @param affinityCookie the cookie that holds the affinity key of a request (not a header)
  */
 public record HeaderNames(
@@ -18,4 +19,5 @@
     String endpointSeal,
     String notExecuted,
     String load,
+    String leaving,
     String affinityCookie) {}
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import org.mustardstage.core.gateway.StorePosition;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.member.Member;
@@ -35,15 +36,31 @@
   /** How many peers are asked at once, as one of them may not reach the store either. */
   private static final int PEERS_PER_REQUEST = 2;
 
+  /**
+   * The first and the longest time between two requests for a whole table from VMs whose rows
+   * differ. The time doubles while the rows still differ, which VMs that decode rows differently
+   * can't help.
+   */
+  private static final long MIN_REPAIR_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private static final long MAX_REPAIR_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(60);
+
   private final VmId self;
   private final RegionId region;
   private final ImmutableMap<PlatformAdapter.Table, TableReplica> replicas;
   private final BiConsumer<Member, PeerMessage> sender;
-  private final Map<PlatformAdapter.Table, Long> sentVersions =
+  private final Map<PlatformAdapter.Table, StorePosition> sentPositions =
+      new EnumMap<>(PlatformAdapter.Table.class);
+  private final Map<PlatformAdapter.Table, Repair> repairs =
       new EnumMap<>(PlatformAdapter.Table.class);
   private long lastPeerRequestNanos = Long.MIN_VALUE / 2;
   private int nextPeer;
 
+  /** When a whole table was last requested because rows differed, and when it may be again. */
+  private record Repair(long requestedNanos, long intervalNanos) {
+    private static final Repair NONE = new Repair(Long.MIN_VALUE / 2, MIN_REPAIR_INTERVAL_NANOS);
+  }
+
   RowReplicator(
       VmId self,
       RegionId region,
@@ -109,7 +126,9 @@
   }
 
   private void requestRows(Member peer, PlatformAdapter.Table table) {
-    sender.accept(peer, new PeerMessage.RowsRequest(table.name(), replicas.get(table).version()));
+    StorePosition position = replicas.get(table).position();
+    sender.accept(
+        peer, new PeerMessage.RowsRequest(table.name(), position.era(), position.version()));
   }
 
   /**
@@ -121,14 +140,23 @@
     if (leaving || !isReader(self, members)) {
       return;
     }
-    long afterVersion = sentVersions.getOrDefault(table, 0L);
-    sentVersions.put(table, replicas.get(table).version());
+    StorePosition position = replicas.get(table).position();
+    StorePosition sent = sentPositions.getOrDefault(table, StorePosition.START);
+    sentPositions.put(table, position);
+    long afterVersion = position.isOfLaterEraThan(sent) ? 0 : sent.version();
     PeerMessage changes = rowsMessage(table, afterVersion, /* current= */ true);
     members.stream()
         .filter(member -> !isReader(member.vm(), members))
         .forEach(member -> sender.accept(member, changes));
   }
 
+  /** Sends {@code message} to the other VMs of the region that are alive and not leaving. */
+  void sendToRegion(MemberView view, PeerMessage message) {
+    servingMembersInRegion(view).stream()
+        .filter(member -> !member.vm().equals(self))
+        .forEach(member -> sender.accept(member, message));
+  }
+
   private PeerMessage rowsMessage(PlatformAdapter.Table table, long afterVersion, boolean current) {
     TableReplica replica = replicas.get(table);
     List<PeerMessage.VersionedRow> rows =
@@ -140,15 +168,28 @@
                         row.version(),
                         row.value().map(Base64.getEncoder()::encodeToString)))
             .toList();
-    return new PeerMessage.RowsUpdate(table.name(), afterVersion, replica.version(), current, rows);
+    StorePosition position = replica.position();
+    return new PeerMessage.RowsUpdate(
+        table.name(),
+        position.era(),
+        afterVersion,
+        position.version(),
+        current,
+        replica.contentHash(),
+        rows);
   }
 
-  /** Sends the rows that a VM requests, if this VM has a newer version of the whole table. */
+  /**
+   * Sends the rows that a VM requests, if this VM has a newer version of the whole table. A VM of
+   * an earlier era gets the whole table.
+   */
   void onRowsWanted(Member from, PeerMessage.RowsRequest message) {
     PlatformAdapter.Table table = tableNamed(message.table());
     TableReplica replica = replicas.get(table);
-    if (replica.isLoaded() && replica.version() > message.afterVersion()) {
-      sender.accept(from, rowsMessage(table, message.afterVersion(), /* current= */ false));
+    StorePosition wanted = new StorePosition(message.era(), message.afterVersion());
+    if (replica.isLoaded() && replica.position().compareTo(wanted) > 0) {
+      long afterVersion = replica.position().isOfLaterEraThan(wanted) ? 0 : wanted.version();
+      sender.accept(from, rowsMessage(table, afterVersion, /* current= */ false));
     }
   }
 
@@ -168,13 +209,36 @@
             .applyPeerRows(
                 nowNanos,
                 message.afterVersion(),
-                new RowStore.Rows(rows, message.version()),
+                new RowStore.Rows(rows, new StorePosition(message.era(), message.version())),
                 message.current());
-    if (!complete) {
+    if (complete) {
+      repairIfDifferent(nowNanos, from, message, table);
+    } else {
       requestRows(from, table);
     }
   }
 
+  /** Requests the whole table from a VM at the same position whose rows differ. */
+  private void repairIfDifferent(
+      long nowNanos, Member from, PeerMessage.RowsUpdate message, PlatformAdapter.Table table) {
+    TableReplica replica = replicas.get(table);
+    if (!replica.position().equals(new StorePosition(message.era(), message.version()))) {
+      return;
+    }
+    if (replica.contentHash() == message.contentHash()) {
+      repairs.remove(table);
+      return;
+    }
+    Repair last = repairs.getOrDefault(table, Repair.NONE);
+    if (nowNanos - last.requestedNanos() < last.intervalNanos()) {
+      return;
+    }
+    long nextIntervalNanos = Math.min(MAX_REPAIR_INTERVAL_NANOS, 2 * last.intervalNanos());
+    repairs.put(table, new Repair(nowNanos, nextIntervalNanos));
+    sender.accept(
+        from, new PeerMessage.RowsRequest(table.name(), message.era(), /* afterVersion= */ 0));
+  }
+
   private static PlatformAdapter.Table tableNamed(String table) {
     return table.equals(PlatformAdapter.Table.OPERATOR.name())
         ? PlatformAdapter.Table.OPERATOR
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RowStore.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RowStore.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import org.mustardstage.core.gateway.StorePosition;
 import org.mustardstage.entry.gateway.PlatformAdapter.Table;
 import org.mustardstage.entry.platform.PlatformFailure;
 
@@ -23,12 +24,12 @@
   record StoredRow(String key, long version, Optional<byte[]> value) {}
 
   /**
-   * Rows as of one version of the store.
+   * Rows as of one position of the store.
    *
    * @param rows the rows, including tombstones
-   * @param version the version up to which they are complete
+   * @param position the position up to which they are complete
    */
-  record Rows(List<StoredRow> rows, long version) {
+  record Rows(List<StoredRow> rows, StorePosition position) {
     /** Copies the list. */
     public Rows {
       rows = ImmutableList.copyOf(rows);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/TableReplica.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/TableReplica.java
@@ -1,6 +1,7 @@
 package org.mustardstage.entry.gateway;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
 import io.activej.promise.Promise;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -10,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.mustardstage.core.gateway.StorePosition;
 import org.mustardstage.entry.gateway.RowStore.Rows;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
 import org.mustardstage.entry.platform.PlatformFailure;
@@ -19,6 +21,10 @@
  * and the whole table again when the store has dropped the history of changes. No row ever returns
  * to an older version, even if the store responds with outdated rows.
  *
+ * <p>A store that was restored from an older copy is in a later era, in which the versions of the
+ * earlier eras mean nothing. The whole table is then read again and replaces the rows; rows of two
+ * eras are never mixed.
+ *
  * <p>While another VM of the region is a reader of the store and sends its changes to this one,
  * this replica makes no calls, unless no message of a reader has arrived for {@link
  * #READER_TIMEOUT_NANOS}. Rows whose content is unchanged, which only show that their writer is
@@ -51,7 +57,11 @@
   private boolean reader = true;
   private boolean callDue;
   private long lastReaderMessageNanos;
-  private long version;
+  private StorePosition position = StorePosition.START;
+
+  /** The sum of the hashes of all rows that exist. */
+  private long contentHash;
+
   private boolean loaded;
   private boolean fullReadNeeded = true;
   private boolean callInFlight;
@@ -75,7 +85,18 @@
    * @param content the decoded content, without what only shows that the writer is alive
    * @param changedVersion the newest known version in which the content changed
    */
-  private record CachedRow(StoredRow row, Object content, long changedVersion) {}
+  private record CachedRow(StoredRow row, Object content, long changedVersion) {
+    long contentHash() {
+      return row.value().isEmpty()
+          ? 0
+          : Hashing.murmur3_128()
+              .newHasher()
+              .putUnencodedChars(row.key())
+              .putInt(content.hashCode())
+              .hash()
+              .asLong();
+    }
+  }
 
   /** Runs tasks with a delay on the thread of the replica. */
   interface Scheduler {
@@ -84,6 +105,12 @@
 
   /** Receives the changes of the replica. */
   interface Listener {
+    /**
+     * Called when the store was restored from an older copy, before the changes by which the rows
+     * of the copy differ from the rows before it are reported.
+     */
+    void onStoreRestored(StorePosition before, StorePosition now);
+
     /** Called when the content of rows has changed; {@code loaded} if the table is complete. */
     void onRowsChanged(List<StoredRow> changed, boolean loaded);
 
@@ -122,9 +149,18 @@
     stopped = true;
   }
 
-  /** Returns the version up to which the replica is complete, or 0 before the first read. */
-  long version() {
-    return version;
+  /** Returns the position up to which the replica is complete. */
+  StorePosition position() {
+    return position;
+  }
+
+  /**
+   * Returns a hash of the contents of all rows that exist. Replicas at the same position have the
+   * same hash, unless one of them has missed a change: a reader that sees a row only before and
+   * after two changes that cancel each other out doesn't report either of them to the others.
+   */
+  long contentHash() {
+    return contentHash;
   }
 
   /** Returns whether the store is taken to be reachable, from this VM or from a reader. */
@@ -166,30 +202,54 @@
 
   /**
    * Applies rows that another VM sent. Returns false, without applying them, if changes are missing
-   * between this replica's version and {@code afterVersion}.
+   * between this replica's position and {@code afterVersion}, or if the rows are only a part of the
+   * table in a later era.
    *
-   * @param afterVersion the version after which {@code received} holds all changes
+   * @param afterVersion the version after which {@code received} holds all changes of its era; 0 if
+   *     it holds the whole table
    * @param current whether the other VM has just read this from the store
    */
   boolean applyPeerRows(long nowNanos, long afterVersion, Rows received, boolean current) {
-    if (afterVersion > version) {
+    boolean laterEra = received.position().isOfLaterEraThan(position);
+    if (position.isOfLaterEraThan(received.position())) {
+      return true;
+    }
+    if (laterEra ? afterVersion > 0 : afterVersion > position.version()) {
       return false;
     }
     if (current && !reader) {
       lastReaderMessageNanos = nowNanos;
       setStoreReachable(true, Optional.empty());
     }
-    if (received.version() <= version) {
-      return true;
+    boolean wholeTable = afterVersion == 0;
+    int comparison = received.position().compareTo(position);
+    if (comparison > 0 || (comparison == 0 && wholeTable)) {
+      apply(received, wholeTable);
     }
-    List<StoredRow> changed = merge(received.rows());
-    version = received.version();
+    return true;
+  }
+
+  /** Applies newer rows and reports what they change. */
+  private void apply(Rows read, boolean wholeTable) {
+    StorePosition before = position;
     boolean first = !loaded;
+    List<StoredRow> changed = new ArrayList<>();
+    if (read.position().isOfLaterEraThan(before)) {
+      changed.addAll(enterEra(read));
+    } else {
+      if (wholeTable) {
+        changed.addAll(removeMissing(read));
+      }
+      changed.addAll(merge(read.rows()));
+    }
+    position = read.position().compareTo(before) > 0 ? read.position() : before;
     loaded = true;
+    if (position.isOfLaterEraThan(before) && before.version() > 0) {
+      listener.onStoreRestored(before, position);
+    }
     if (!changed.isEmpty() || first) {
       listener.onRowsChanged(changed, true);
     }
-    return true;
   }
 
   /**
@@ -211,11 +271,12 @@
     callInFlight = true;
     callDue = false;
     long number = ++callNumber;
-    boolean readAll = fullReadNeeded && !(loaded && version > 0);
+    boolean readAll = fullReadNeeded && !(loaded && position.version() > 0);
     Promise<Either<PlatformFailure, Rows>> response =
         readAll
             ? store.readAll(table)
-            : store.readChanges(table, version, storeReachable ? pollSettings.waitMillis() : 0);
+            : store.readChanges(
+                table, position.version(), storeReachable ? pollSettings.waitMillis() : 0);
     response.whenResult(
         result -> {
           if (number != callNumber) {
@@ -231,34 +292,37 @@
   private boolean onRows(boolean readAll, Rows read) {
     retryMillis = FIRST_RETRY_MILLIS;
     setStoreReachable(true, Optional.empty());
-    if (readAll && read.version() < version) {
+    if (!readAll && read.position().isOfLaterEraThan(position)) {
+      return readWholeTable();
+    }
+    boolean outdated =
+        readAll
+            ? read.position().compareTo(position) < 0
+            : position.isOfLaterEraThan(read.position());
+    if (outdated) {
       callAfter(FIRST_RETRY_MILLIS);
       return false;
     }
-    List<StoredRow> changed = new ArrayList<>();
     if (readAll) {
-      changed.addAll(removeMissing(read));
       fullReadNeeded = false;
     }
-    changed.addAll(merge(read.rows()));
-    version = Math.max(version, read.version());
-    boolean first = !loaded;
-    loaded = true;
-    if (!changed.isEmpty() || first) {
-      listener.onRowsChanged(changed, true);
-    }
+    apply(read, readAll);
     listener.onStoreRead();
     callAfter(pollSettings.pauseMillis());
     return true;
   }
 
+  private boolean readWholeTable() {
+    fullReadNeeded = true;
+    loaded = false;
+    call();
+    return false;
+  }
+
   private boolean onFailure(PlatformFailure failure) {
     if (failure instanceof PlatformFailure.HistoryLost) {
       setStoreReachable(true, Optional.empty());
-      fullReadNeeded = true;
-      loaded = false;
-      call();
-      return false;
+      return readWholeTable();
     }
     setStoreReachable(false, Optional.of(failure));
     callAfter(reader ? retryMillis : NON_READER_RETRY_MILLIS);
@@ -291,15 +355,51 @@
     for (CachedRow cached : ImmutableList.copyOf(rows.values())) {
       StoredRow row = cached.row();
       boolean isPresent = row.value().isPresent();
-      if (isPresent && !present.containsKey(row.key()) && row.version() <= read.version()) {
-        StoredRow tombstone = new StoredRow(row.key(), read.version(), Optional.empty());
-        rows.put(row.key(), new CachedRow(tombstone, contentOf.apply(tombstone), read.version()));
-        removed.add(tombstone);
+      long version = read.position().version();
+      if (isPresent && !present.containsKey(row.key()) && row.version() <= version) {
+        removed.add(putTombstone(row.key(), version));
       }
     }
     return removed;
   }
 
+  private void put(CachedRow row) {
+    CachedRow replaced = rows.put(row.row().key(), row);
+    contentHash += row.contentHash() - (replaced == null ? 0 : replaced.contentHash());
+  }
+
+  private StoredRow putTombstone(String key, long version) {
+    StoredRow tombstone = new StoredRow(key, version, Optional.empty());
+    put(new CachedRow(tombstone, contentOf.apply(tombstone), version));
+    return tombstone;
+  }
+
+  /**
+   * Replaces all rows by the whole table of a later era; returns those whose content changed. The
+   * rows that the table lacks become tombstones of the new era.
+   */
+  private List<StoredRow> enterEra(Rows table) {
+    Map<String, CachedRow> before = new HashMap<>(rows);
+    rows.clear();
+    contentHash = 0;
+    List<StoredRow> changed = new ArrayList<>();
+    for (StoredRow row : table.rows()) {
+      Object content = contentOf.apply(row);
+      put(new CachedRow(row, content, row.version()));
+      CachedRow cached = before.remove(row.key());
+      if (cached == null || !cached.content().equals(content)) {
+        changed.add(row);
+      }
+    }
+    for (CachedRow missing : before.values()) {
+      StoredRow tombstone = putTombstone(missing.row().key(), table.position().version());
+      if (missing.row().value().isPresent()) {
+        changed.add(tombstone);
+      }
+    }
+    return changed;
+  }
+
   /** Stores the rows that are newer than the held ones; returns those whose content changed. */
   private List<StoredRow> merge(List<StoredRow> received) {
     List<StoredRow> changed = new ArrayList<>();
@@ -310,9 +410,9 @@
       }
       Object content = contentOf.apply(row);
       if (cached != null && cached.content().equals(content)) {
-        rows.put(row.key(), new CachedRow(row, content, cached.changedVersion()));
+        put(new CachedRow(row, content, cached.changedVersion()));
       } else {
-        rows.put(row.key(), new CachedRow(row, content, row.version()));
+        put(new CachedRow(row, content, row.version()));
         changed.add(row);
       }
     }
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -36,6 +36,8 @@
   PLATFORM_LOST(20, Level.WARN),
   /** The platform responds again. */
   PLATFORM_BACK(21, Level.INFO),
+  /** The platform's store was restored from an older copy and entered a new era. */
+  STORE_RESTORED(22, Level.WARN),
   /** The membership view changed. */
   MEMBERS_CHANGED(30, Level.INFO),
   /** A link to another VM was opened. */
--- a/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
@@ -8,6 +8,7 @@
 import org.mustardstage.schema.generated.WireConfirmOwnership;
 import org.mustardstage.schema.generated.WireDigestSummary;
 import org.mustardstage.schema.generated.WireDigests;
+import org.mustardstage.schema.generated.WireEndpointsLeaving;
 import org.mustardstage.schema.generated.WireHandover;
 import org.mustardstage.schema.generated.WireHandoverReceived;
 import org.mustardstage.schema.generated.WireHeartbeat;
@@ -51,7 +52,8 @@
   HANDOVER_RECEIVED(19, WireHandoverReceived.class),
   STOP_ANNOUNCED(20, WireStopAnnounced.class),
   ROWS_WANTED(21, WireRowsWanted.class),
-  ROWS_KNOWN(22, WireRowsKnown.class);
+  ROWS_KNOWN(22, WireRowsKnown.class),
+  ENDPOINTS_LEAVING(23, WireEndpointsLeaving.class);
 
   private final int number;
   private final Class<?> payloadClass;
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -13,6 +13,8 @@
 import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.placement.LeavingEndpoint;
 import org.mustardstage.schema.generated.WireConfigAnnounce;
 import org.mustardstage.schema.generated.WireConfigFetch;
 import org.mustardstage.schema.generated.WireConfigObject;
@@ -20,6 +22,7 @@
 import org.mustardstage.schema.generated.WireConfirmOwnership;
 import org.mustardstage.schema.generated.WireDigestSummary;
 import org.mustardstage.schema.generated.WireDigests;
+import org.mustardstage.schema.generated.WireEndpointsLeaving;
 import org.mustardstage.schema.generated.WireHandover;
 import org.mustardstage.schema.generated.WireHandoverReceived;
 import org.mustardstage.schema.generated.WireHeartbeat;
@@ -31,6 +34,7 @@
 import org.mustardstage.schema.generated.WireLeaseReturn;
 import org.mustardstage.schema.generated.WireLeaseTransfer;
 import org.mustardstage.schema.generated.WireLeaseWithdrawal;
+import org.mustardstage.schema.generated.WireLeavingEndpoint;
 import org.mustardstage.schema.generated.WireOwnershipAdvertised;
 import org.mustardstage.schema.generated.WireOwnershipConfirmed;
 import org.mustardstage.schema.generated.WirePermitsWanted;
@@ -84,13 +88,21 @@
               .withRootHash(announce.rootHash());
       case PeerMessage.ConfigFetch fetch -> new WireConfigFetch().withHashes(fetch.hashes());
       case PeerMessage.RowsRequest request ->
-          new WireRowsWanted().withTable(request.table()).withAfterVersion(request.afterVersion());
+          new WireRowsWanted()
+              .withTable(request.table())
+              .withEra(request.era())
+              .withAfterVersion(request.afterVersion());
+      case PeerMessage.EndpointsLeaving leaving ->
+          new WireEndpointsLeaving()
+              .withEndpoints(leaving.endpoints().stream().map(PeerCodec::toWire).toList());
       case PeerMessage.RowsUpdate update ->
           new WireRowsKnown()
               .withTable(update.table())
+              .withEra(update.era())
               .withAfterVersion(update.afterVersion())
               .withVersion(update.version())
               .withCurrent(update.current())
+              .withContentHash(update.contentHash())
               .withRows(update.rows().stream().map(PeerCodec::toWire).toList());
       case PeerMessage.ConfigObjects objects ->
           new WireConfigObjects()
@@ -98,6 +110,16 @@
     };
   }
 
+  private static WireLeavingEndpoint toWire(LeavingEndpoint endpoint) {
+    return new WireLeavingEndpoint()
+        .withId(endpoint.id().value())
+        .withStartTimeMillis(endpoint.startTimeMillis());
+  }
+
+  private static LeavingEndpoint fromWire(WireLeavingEndpoint endpoint) {
+    return new LeavingEndpoint(new EndpointId(endpoint.getId()), endpoint.getStartTimeMillis());
+  }
+
   private static WireKnownRow toWire(PeerMessage.VersionedRow row) {
     return new WireKnownRow()
         .withKey(row.key())
@@ -177,13 +199,19 @@
       case WireHello w -> new PeerMessage.Hello(MemberMessageMapper.fromWire(w.getMember()));
       case WireConfigAnnounce w ->
           new PeerMessage.ConfigAnnounce(new ConfigVersion(w.getVersion()), w.getRootHash());
-      case WireRowsWanted w -> new PeerMessage.RowsRequest(w.getTable(), w.getAfterVersion());
+      case WireRowsWanted w ->
+          new PeerMessage.RowsRequest(w.getTable(), w.getEra(), w.getAfterVersion());
+      case WireEndpointsLeaving w ->
+          new PeerMessage.EndpointsLeaving(
+              w.getEndpoints().stream().map(PeerCodec::fromWire).toList());
       case WireRowsKnown w ->
           new PeerMessage.RowsUpdate(
               w.getTable(),
+              w.getEra(),
               w.getAfterVersion(),
               w.getVersion(),
               w.getCurrent(),
+              w.getContentHash(),
               w.getRows().stream().map(PeerCodec::fromWire).toList());
       case WireConfigFetch w -> new PeerMessage.ConfigFetch(w.getHashes());
       case WireConfigObjects w -> fromWire(w);
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberMessage;
 import org.mustardstage.core.permit.PermitMessage;
+import org.mustardstage.core.placement.LeavingEndpoint;
 
 /** A message between entry VMs. */
 public sealed interface PeerMessage {
@@ -38,21 +39,41 @@
     }
   }
 
-  /** Requests the rows of {@code table} that changed after a version of the platform's store. */
-  record RowsRequest(String table, long afterVersion) implements PeerMessage {}
+  /** Tells which endpoints have said in a response that they are leaving. */
+  record EndpointsLeaving(List<LeavingEndpoint> endpoints) implements PeerMessage {
+    /** Copies the list. */
+    public EndpointsLeaving {
+      endpoints = ImmutableList.copyOf(endpoints);
+    }
+  }
+
+  /**
+   * Requests the rows of {@code table} that changed after a version of the platform's store in an
+   * era.
+   */
+  record RowsRequest(String table, long era, long afterVersion) implements PeerMessage {}
 
   /**
    * Carries rows of {@code table}.
    *
    * @param table the table
+   * @param era the era of the store to which the versions belong
    * @param afterVersion {@code rows} is complete for a receiver that has all rows up to this
    *     version
    * @param version the version up to which the sender has all rows
    * @param current whether the sender has just read this from the store itself
+   * @param contentHash a hash of all rows that the sender has, by which a receiver notices that its
+   *     rows differ
    * @param rows the rows that changed after {@code afterVersion}
    */
   record RowsUpdate(
-      String table, long afterVersion, long version, boolean current, List<VersionedRow> rows)
+      String table,
+      long era,
+      long afterVersion,
+      long version,
+      boolean current,
+      long contentHash,
+      List<VersionedRow> rows)
       implements PeerMessage {
     /** Copies the list. */
     public RowsUpdate {
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -30,6 +30,7 @@
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.core.gateway.ServiceSpec;
+import org.mustardstage.core.gateway.StorePosition;
 import org.mustardstage.core.gateway.WeightedService;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.EndpointId;
@@ -156,7 +157,7 @@
             case OPERATOR -> row("config", 3);
             case ENDPOINTS -> row("i-1", 2);
           };
-      return Promise.of(Either.right(new Rows(List.of(row), 5)));
+      return Promise.of(Either.right(new Rows(List.of(row), new StorePosition(0, 5))));
     }
 
     @Override
@@ -167,7 +168,7 @@
     }
 
     void evacuate() {
-      evacuation.set(Either.right(new Rows(List.of(row("evacuate", 6)), 6)));
+      evacuation.set(Either.right(new Rows(List.of(row("evacuate", 6)), new StorePosition(0, 6))));
     }
 
     private static StoredRow row(String key, long version) {
@@ -210,7 +211,8 @@
 
     @Override
     public HeaderNames headerNames() {
-      return new HeaderNames("Id", "Deadline", "Expected", "Seal", "Not-Run", "Load", "Object");
+      return new HeaderNames(
+          "Id", "Deadline", "Expected", "Seal", "Not-Run", "Load", "Leaving", "Object");
     }
 
     @Override
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
@@ -507,6 +507,7 @@
           "X-Server-Seal",
           "X-Not-Executed",
           "X-Server-Load",
+          "Server-Leaving",
           "X-Affinity-Key");
     }
 
--- a/entry/src/test/java/org/mustardstage/entry/gateway/RowReplicatorTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/RowReplicatorTest.java
@@ -19,7 +19,12 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.mustardstage.core.gateway.StorePosition;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
@@ -46,9 +51,18 @@
 
   private final List<Vm> vms = new ArrayList<>();
   private final Set<VmId> disconnected = new HashSet<>();
+
+  /** The VMs that the store doesn't serve, while the other VMs reach them. */
+  private final Set<VmId> rejected = new HashSet<>();
+
   private final PriorityQueue<Task> tasks = new PriorityQueue<>();
   private final Map<String, StoredRow> stored = new HashMap<>();
+  private long storeEra;
   private long storeVersion = 1;
+
+  /** The rows at each earlier version of the store, from which it can be restored. */
+  private final List<Map<String, StoredRow>> snapshots = new ArrayList<>();
+
   private long nowNanos;
   private long sequence;
 
@@ -107,21 +121,40 @@
 
     @Override
     public Promise<Either<PlatformFailure, Rows>> readAll(PlatformAdapter.Table table) {
-      return readChanges(table, 0, 0);
+      return readRows(0);
     }
 
     @Override
     public Promise<Either<PlatformFailure, Rows>> readChanges(
         PlatformAdapter.Table table, long afterVersion, long waitMillis) {
-      if (disconnected.contains(member.vm())) {
+      return readRows(afterVersion);
+    }
+
+    private Promise<Either<PlatformFailure, Rows>> readRows(long afterVersion) {
+      if (disconnected.contains(member.vm()) || rejected.contains(member.vm())) {
         return Promise.of(Either.left(new PlatformFailure.NoAnswer("VM is disconnected")));
       }
       calls++;
+      if (afterVersion > storeVersion) {
+        return Promise.of(Either.left(new PlatformFailure.HistoryLost()));
+      }
       List<StoredRow> changed =
           stored.values().stream().filter(row -> row.version() > afterVersion).toList();
-      return Promise.of(Either.right(new Rows(changed, storeVersion)));
+      return Promise.of(Either.right(new Rows(changed, new StorePosition(storeEra, storeVersion))));
     }
 
+    /** Returns the values of the rows that exist in the replica. */
+    Map<String, String> values() {
+      Map<String, String> values = new HashMap<>();
+      replica
+          .changedSince(-1)
+          .forEach(row -> row.value().ifPresent(v -> values.put(row.key(), text(v))));
+      return values;
+    }
+
+    @Override
+    public void onStoreRestored(StorePosition before, StorePosition now) {}
+
     @Override
     public void onRowsChanged(List<StoredRow> changed, boolean loaded) {}
 
@@ -151,6 +184,9 @@
   }
 
   private void tick(Vm vm) {
+    if (!vms.contains(vm)) {
+      return;
+    }
     vm.replicator.onTick(nowNanos, view(vm), /* leaving= */ false);
     after(100 * MILLI, () -> tick(vm));
   }
@@ -176,9 +212,47 @@
   }
 
   private void write(String key) {
+    write(key, Optional.of("v" + storeEra + "/" + (storeVersion + 1)));
+  }
+
+  private void write(String key, Optional<String> value) {
+    snapshots.add(new HashMap<>(stored));
     storeVersion++;
-    byte[] value = ("v" + storeVersion).getBytes(StandardCharsets.UTF_8);
-    stored.put(key, new StoredRow(key, storeVersion, Optional.of(value)));
+    stored.put(
+        key,
+        new StoredRow(key, storeVersion, value.map(text -> text.getBytes(StandardCharsets.UTF_8))));
+  }
+
+  /** Restores the store from the copy that is {@code versionCount} versions old. */
+  private void restoreStore(int versionCount) {
+    storeEra++;
+    if (versionCount == 0) {
+      return;
+    }
+    int kept = snapshots.size() - versionCount;
+    stored.clear();
+    stored.putAll(snapshots.get(kept));
+    snapshots.subList(kept, snapshots.size()).clear();
+    storeVersion -= versionCount;
+  }
+
+  private static String text(byte[] value) {
+    return new String(value, StandardCharsets.UTF_8);
+  }
+
+  private Map<String, String> storedValues() {
+    Map<String, String> values = new HashMap<>();
+    stored.forEach((key, row) -> row.value().ifPresent(v -> values.put(key, text(v))));
+    return values;
+  }
+
+  /** Replaces a VM by one that has just started and knows nothing. */
+  private void restart(int number) {
+    vms.get(number).replica.stop();
+    Vm vm = new Vm(number);
+    vms.set(number, vm);
+    vm.replica.start();
+    tick(vm);
   }
 
   private List<Vm> readersDuring(long millis) {
@@ -190,7 +264,7 @@
   private List<Long> versions() {
     return vms.stream()
         .filter(vm -> !disconnected.contains(vm.member.vm()))
-        .map(vm -> vm.replica.version())
+        .map(vm -> vm.replica.position().version())
         .toList();
   }
 
@@ -239,4 +313,92 @@
 
     assertThat(versions(), everyItem(is(storeVersion)));
   }
+
+  /**
+   * Guards against changes that cancel each other out between two reads of a reader: it sees no
+   * change, but a VM that learned of the first change by itself must learn of the second.
+   */
+  @Test
+  void changesThatCancelEachOtherOutReachTheVmThatSawTheFirst() {
+    start();
+    runFor(3_000);
+    write("a", Optional.of("before"));
+    runFor(2_000);
+    List<Vm> readers = readersDuring(2_000);
+    Vm other = vms.stream().filter(vm -> !readers.contains(vm)).findFirst().orElseThrow();
+    write("a", Optional.of("between"));
+    other.replica.applyPeerRows(
+        nowNanos,
+        storeVersion - 1,
+        new Rows(List.of(stored.get("a")), new StorePosition(storeEra, storeVersion)),
+        /* current= */ false);
+    write("a", Optional.of("before"));
+    runFor(3_000);
+
+    assertThat(other.values(), is(storedValues()));
+  }
+
+  /** Guards against versions of a lost history that hide the changes of the restored store. */
+  @Test
+  void restoredStoreReachesEveryVm() {
+    start();
+    runFor(3_000);
+    for (int i = 0; i < 40; i++) {
+      write("a" + i);
+    }
+    runFor(2_000);
+    restoreStore(30);
+    write("b");
+    runFor(3_000);
+
+    for (Vm vm : vms) {
+      assertThat(vm.values(), is(storedValues()));
+    }
+  }
+
+  /**
+   * Restores the store at random moments while VMs write, restart, lose each other or are rejected
+   * by the store. Guards against VMs that mix the rows of two eras.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void allVmsEndWithTheRowsOfTheStore(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    start();
+    runFor(1_000);
+    for (int step = 0; step < 60; step++) {
+      takeRandomStep(random);
+      runFor(random.nextInt(400));
+    }
+    disconnected.clear();
+    int stillRejected = random.nextInt(vms.size());
+    rejected.removeIf(vm -> !vm.equals(vms.get(stillRejected).member.vm()));
+    runFor(6_000);
+
+    for (Vm vm : vms) {
+      assertThat("seed " + seed + ", " + vm.member.vm(), vm.values(), is(storedValues()));
+    }
+  }
+
+  private void takeRandomStep(SplittableRandom random) {
+    Vm vm = vms.get(random.nextInt(vms.size()));
+    switch (random.nextInt(8)) {
+      case 0 -> restoreStore(random.nextInt(Math.min(snapshots.size(), 15) + 1));
+      case 1 -> toggle(disconnected, vm);
+      case 2 -> toggle(rejected, vm);
+      case 3 -> restart(vms.indexOf(vm));
+      case 4 -> write("row-" + random.nextInt(6), Optional.empty());
+      default -> write("row-" + random.nextInt(6));
+    }
+  }
+
+  private static void toggle(Set<VmId> set, Vm vm) {
+    if (!set.remove(vm.member.vm())) {
+      set.add(vm.member.vm());
+    }
+  }
+
+  private static LongStream seeds() {
+    return LongStream.range(0, 300);
+  }
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/TableReplicaTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/TableReplicaTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.mustardstage.core.gateway.StorePosition;
 import org.mustardstage.entry.gateway.RowStore.Rows;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
 import org.mustardstage.entry.platform.PlatformFailure;
@@ -65,7 +66,7 @@
     store.complete(rows(2));
 
     assertThat(events, contains("a@3"));
-    assertThat(replica.version(), is(7L));
+    assertThat(replica.position(), is(new StorePosition(0, 7)));
   }
 
   @Test
@@ -78,6 +79,71 @@
     assertThat(events, contains("a@5"));
   }
 
+  @Test
+  void restoredStoreIsReadAgainAndReusedVersionsAreBelieved() {
+    replica.start();
+    store.complete(rows(40, row("a", 3), row("b", 39), row("c", 40, "new")));
+    runScheduledTasks();
+    store.complete(Either.left(new PlatformFailure.HistoryLost()));
+    store.complete(rowsOfEra(1, 10, row("a", 3), row("c", 5, "old")));
+    runScheduledTasks();
+    store.complete(rowsOfEra(1, 12, row("b", 12)));
+
+    assertThat(
+        events, contains("a@3", "b@39", "c@40", "restored 0/40 1/10", "c@5", "b gone", "b@12"));
+    assertThat(store.calls, contains("all", "after 40", "all", "after 10"));
+    assertThat(replica.position(), is(new StorePosition(1, 12)));
+  }
+
+  @Test
+  void changesOfALaterEraAreNotAppliedToRowsOfAnEarlierOne() {
+    replica.start();
+    store.complete(rows(7, row("a", 3), row("b", 7)));
+    runScheduledTasks();
+    store.complete(rowsOfEra(1, 9, row("c", 9)));
+    store.complete(rowsOfEra(1, 9, row("a", 3), row("c", 9)));
+
+    assertThat(events, contains("a@3", "b@7", "restored 0/7 1/9", "c@9", "b gone"));
+    assertThat(store.calls, contains("all", "after 7", "all"));
+  }
+
+  @Test
+  void responseOfAnEarlierEraChangesNothing() {
+    replica.start();
+    store.complete(rowsOfEra(2, 7, row("a", 3)));
+    runScheduledTasks();
+    store.complete(rowsOfEra(1, 20, row("b", 20)));
+
+    assertThat(events, contains("a@3"));
+    assertThat(replica.position(), is(new StorePosition(2, 7)));
+  }
+
+  @Test
+  void rowsOfAPeerInAnEarlierEraAreIgnored() {
+    replica.start();
+    store.complete(rowsOfEra(1, 7, row("a", 3)));
+
+    boolean complete =
+        replica.applyPeerRows(SECOND, 0, rowsOfEra(0, 90, row("b", 80)).get(), /* current= */ true);
+
+    assertThat(complete, is(true));
+    assertThat(events, contains("a@3"));
+  }
+
+  @Test
+  void partOfThePeersTableInALaterEraIsNotApplied() {
+    replica.start();
+    store.complete(rows(7, row("a", 3)));
+
+    assertThat(
+        replica.applyPeerRows(SECOND, 4, rowsOfEra(1, 5, row("b", 5)).get(), /* current= */ true),
+        is(false));
+    assertThat(
+        replica.applyPeerRows(SECOND, 0, rowsOfEra(1, 5, row("b", 5)).get(), /* current= */ false),
+        is(true));
+    assertThat(events, contains("a@3", "restored 0/7 1/5", "b@5", "a gone"));
+  }
+
   @Test
   void failureIsReportedOnceAndTheReplicaKeepsCalling() {
     replica.start();
@@ -127,7 +193,7 @@
     replica.applyPeerRows(SECOND, 0, rows(11, row("a", 10)).get(), /* current= */ false);
 
     assertThat(events, contains("a@11"));
-    assertThat(replica.version(), is(12L));
+    assertThat(replica.position().version(), is(12L));
     assertThat(replica.changedSince(11), is(empty()));
   }
 
@@ -139,7 +205,7 @@
     store.complete(rows(9, row("a", 9)));
 
     assertThat(events, contains("a@3"));
-    assertThat(replica.version(), is(9L));
+    assertThat(replica.position().version(), is(9L));
     assertThat(replica.changedSince(7), is(empty()));
   }
 
@@ -153,7 +219,7 @@
     }
 
     assertThat(store.calls, contains("all"));
-    assertThat(replica.version(), is(17L));
+    assertThat(replica.position().version(), is(17L));
   }
 
   @Test
@@ -175,7 +241,7 @@
     boolean complete = replica.applyPeerRows(SECOND, 9, rows(12).get(), /* current= */ true);
 
     assertThat(complete, is(false));
-    assertThat(replica.version(), is(7L));
+    assertThat(replica.position(), is(new StorePosition(0, 7)));
   }
 
   @Test
@@ -216,11 +282,26 @@
     return new StoredRow(key, version, Optional.of(key.getBytes(StandardCharsets.UTF_8)));
   }
 
+  /** A row whose value, unlike that of {@link #row}, isn't derived from its key. */
+  private static StoredRow row(String key, long version, String value) {
+    return new StoredRow(key, version, Optional.of(value.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  private static Either<PlatformFailure, Rows> rowsOfEra(
+      long era, long version, StoredRow... rows) {
+    return Either.right(new Rows(List.of(rows), new StorePosition(era, version)));
+  }
+
   private static Either<PlatformFailure, Rows> rows(long version, StoredRow... rows) {
-    return Either.right(new Rows(List.of(rows), version));
+    return rowsOfEra(0, version, rows);
   }
 
   private final class RecordingListener implements TableReplica.Listener {
+    @Override
+    public void onStoreRestored(StorePosition before, StorePosition now) {
+      events.add("restored " + before + " " + now);
+    }
+
     @Override
     public void onRowsChanged(List<StoredRow> changed, boolean loaded) {
       changed.forEach(
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.VmIncarnation;
@@ -25,6 +26,7 @@
 import org.mustardstage.core.member.MemberMessage;
 import org.mustardstage.core.permit.LimitId;
 import org.mustardstage.core.permit.PermitMessage;
+import org.mustardstage.core.placement.LeavingEndpoint;
 
 /**
  * Checks that every message survives encoding and decoding, and that truncated, corrupted and
@@ -68,12 +70,16 @@
             List.of(
                 new PeerMessage.ConfigObject("abc", Optional.of("{}")),
                 new PeerMessage.ConfigObject("def", Optional.empty()))),
-        new PeerMessage.RowsRequest("ENDPOINTS", 12),
+        new PeerMessage.EndpointsLeaving(
+            List.of(new LeavingEndpoint(new EndpointId("i-1"), 1_700_000_000_000L))),
+        new PeerMessage.RowsRequest("ENDPOINTS", 2, 12),
         new PeerMessage.RowsUpdate(
             "ENDPOINTS",
+            2,
             12,
             14,
             true,
+            77,
             List.of(
                 new PeerMessage.VersionedRow("a", 13, Optional.of("AAE=")),
                 new PeerMessage.VersionedRow("b", 14, Optional.empty()))));
