Accept a VM that restarts with a smaller incarnation number

Cause: the number is taken from the time of day, so a VM whose clock stepped back before a restart is older than its last life; its peers ignored it for good. With the same number as a life that was leaving, it counted as leaving.

Change: the time of day is only the first guess. A VM that introduces itself, or sends a heartbeat, under a number that is not above the known one is told the known number; the entry VM then takes the next one, opens its links anew and writes its row again. Its own row in the list of VMs says the same when no peer can. With two lives under one number, peers believe the newer link; only a leaving life makes a difference, and that is answered. Earlier incarnations are forgotten after eight times the time to be gone; they were kept for ever and went into every hash of the view.

--- a/core/src/main/java/org/mustardstage/core/member/Member.java
+++ b/core/src/main/java/org/mustardstage/core/member/Member.java
@@ -55,6 +55,19 @@
     return incarnation.vm();
   }
 
+  /** Returns a copy of this member with another incarnation number. */
+  public Member withNumber(long number) {
+    return new Member(
+        new VmIncarnation(vm(), number),
+        zone,
+        region,
+        trafficAddress,
+        peerAddress,
+        adminAddress,
+        leaving,
+        milliCores);
+  }
+
   /** Returns a copy of this member that is marked as leaving. */
   public Member asLeaving() {
     return new Member(
--- a/core/src/main/java/org/mustardstage/core/member/MemberAction.java
+++ b/core/src/main/java/org/mustardstage/core/member/MemberAction.java
@@ -7,4 +7,12 @@
 
   /** Reports that {@link Membership#view} returns a different view than before. */
   record ViewChanged() implements MemberAction {}
+
+  /**
+   * Reports that other VMs ignore this one, because they know its VM under a number that is not
+   * smaller. {@link Membership#renumber} makes them accept it.
+   *
+   * @param knownNumber the number under which the VM is known
+   */
+  record Superseded(long knownNumber) implements MemberAction {}
 }
--- a/core/src/main/java/org/mustardstage/core/member/MemberMessage.java
+++ b/core/src/main/java/org/mustardstage/core/member/MemberMessage.java
@@ -42,4 +42,12 @@
       digests = ImmutableList.copyOf(digests);
     }
   }
+
+  /**
+   * Tells a VM that introduced itself that a later incarnation of it, or a leaving one with the
+   * same number, is known. A clock that stepped back before a restart gives such a number.
+   *
+   * @param knownNumber the number of the incarnation that is known
+   */
+  record Superseded(long knownNumber) implements MemberMessage {}
 }
--- a/core/src/main/java/org/mustardstage/core/member/Membership.java
+++ b/core/src/main/java/org/mustardstage/core/member/Membership.java
@@ -1,5 +1,6 @@
 package org.mustardstage.core.member;
 
+import com.google.common.base.Preconditions;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedMap;
@@ -65,14 +66,65 @@
     platformVmList = ImmutableList.copyOf(list);
     zonesByRegion = Optional.empty();
     peers.applyVmList(nowNanos, list);
-    return detectViewChange(nowNanos);
+    List<MemberAction> actions = new ArrayList<>(detectViewChange(nowNanos));
+    list.stream()
+        .filter(member -> member.vm().equals(self.vm()))
+        .mapToLong(member -> member.incarnation().number())
+        .filter(number -> number > self.incarnation().number())
+        .max()
+        .ifPresent(number -> actions.add(new MemberAction.Superseded(number)));
+    return actions;
+  }
+
+  /**
+   * Changes the number of this incarnation, so that VMs that know an earlier incarnation under a
+   * number that is not smaller accept this one.
+   */
+  public void renumber(long number) {
+    Preconditions.checkArgument(
+        number > self.incarnation().number(),
+        "number must be larger than %s: %s",
+        self.incarnation().number(),
+        number);
+    self = self.withNumber(number);
+    heartbeatSchedule.makeAllDue();
   }
 
   /** Adds a VM that introduced itself on a new link and marks it alive. */
   public List<MemberAction> addPeer(long nowNanos, Member member) {
     peers.addIfNewer(nowNanos, member);
     peers.find(member.incarnation()).ifPresent(peer -> peer.recordContact(nowNanos));
-    return detectViewChange(nowNanos);
+    List<MemberAction> actions = new ArrayList<>(detectViewChange(nowNanos));
+    actions.addAll(answerSuperseded(member));
+    return actions;
+  }
+
+  /** Tells {@code member} if its VM is known under a number that is not smaller. */
+  private List<MemberAction> answerSuperseded(Member member) {
+    return knownNumberOf(member)
+        .map(number -> new MemberAction.SendMessage(member, new MemberMessage.Superseded(number)))
+        .map(ImmutableList::<MemberAction>of)
+        .orElse(ImmutableList.of());
+  }
+
+  /** Returns the number of an incarnation that is known instead of {@code member}. */
+  private Optional<Long> knownNumberOf(Member member) {
+    Optional<Member> known =
+        member.zone().equals(self.zone())
+            ? peers.find(member.vm())
+            : digestTable.find(member.zone()).stream()
+                .flatMap(digest -> digest.members().stream())
+                .filter(other -> other.vm().equals(member.vm()))
+                .findFirst();
+    long offered = member.incarnation().number();
+    return known
+        .filter(
+            other ->
+                other.incarnation().number() > offered
+                    || (other.incarnation().number() == offered
+                        && other.leaving()
+                        && !member.leaving()))
+        .map(other -> other.incarnation().number());
   }
 
   /** Sets the configuration version that is active on this VM. */
@@ -95,10 +147,18 @@
     peers.addIfNewer(nowNanos, from);
     silentZoneDetector.recordContact(nowNanos, from);
     List<MemberAction> actions = new ArrayList<>();
+    if (message instanceof MemberMessage.Heartbeat heartbeat && !heartbeat.leaving()) {
+      actions.addAll(answerSuperseded(from));
+    }
     switch (message) {
       case MemberMessage.Heartbeat heartbeat -> applyHeartbeat(nowNanos, from, heartbeat, actions);
       case MemberMessage.DigestSummary summary -> applySummary(nowNanos, from, summary, actions);
       case MemberMessage.Digests digests -> digests.digests().forEach(digestTable::putIfNewer);
+      case MemberMessage.Superseded superseded -> {
+        if (superseded.knownNumber() >= self.incarnation().number()) {
+          actions.add(new MemberAction.Superseded(superseded.knownNumber()));
+        }
+      }
     }
     return actions;
   }
--- a/core/src/main/java/org/mustardstage/core/member/ZonePeers.java
+++ b/core/src/main/java/org/mustardstage/core/member/ZonePeers.java
@@ -16,7 +16,10 @@
   private final MembershipSettings settings;
   private final Member self;
   private final Map<VmId, PeerState> peers = new TreeMap<>();
-  private final Map<VmId, List<Member>> earlierIncarnations = new HashMap<>();
+  private final Map<VmId, List<EarlierIncarnation>> earlierIncarnations = new HashMap<>();
+
+  /** An incarnation that a later one has replaced. */
+  private record EarlierIncarnation(Member member, long replacedNanos) {}
 
   ZonePeers(MembershipSettings settings, Member self) {
     this.settings = settings;
@@ -42,11 +45,16 @@
     }
     earlierIncarnations
         .computeIfAbsent(member.vm(), key -> new ArrayList<>())
-        .add(current.member());
+        .add(new EarlierIncarnation(current.member(), nowNanos));
     peers.put(member.vm(), new PeerState(member, nowNanos));
     return true;
   }
 
+  /** Returns the latest known incarnation of a VM. */
+  Optional<Member> find(VmId vm) {
+    return Optional.ofNullable(peers.get(vm)).map(PeerState::member);
+  }
+
   Optional<PeerState> find(VmIncarnation incarnation) {
     return Optional.ofNullable(peers.get(incarnation.vm()))
         .filter(peer -> peer.member().incarnation().equals(incarnation));
@@ -76,6 +84,10 @@
   void removeGone(long nowNanos) {
     long removeAfterNanos = 8 * settings.goneAfterNanos();
     peers.values().removeIf(peer -> peer.isProvenGone(nowNanos, removeAfterNanos));
+    for (List<EarlierIncarnation> replaced : earlierIncarnations.values()) {
+      replaced.removeIf(earlier -> nowNanos - earlier.replacedNanos() > removeAfterNanos);
+    }
+    earlierIncarnations.values().removeIf(List::isEmpty);
   }
 
   int zoneSize() {
@@ -103,11 +115,14 @@
               peer.isProvenGone(nowNanos, settings.goneAfterNanos()),
               peer.configVersion()));
     }
-    for (List<Member> incarnations : earlierIncarnations.values()) {
-      for (Member earlier : incarnations) {
+    for (List<EarlierIncarnation> incarnations : earlierIncarnations.values()) {
+      for (EarlierIncarnation earlier : incarnations) {
         statuses.add(
             new MemberStatus(
-                earlier, MemberStatus.Liveness.DEAD, /* provenGone= */ true, ConfigVersion.NONE));
+                earlier.member(),
+                MemberStatus.Liveness.DEAD,
+                /* provenGone= */ true,
+                ConfigVersion.NONE));
       }
     }
     return statuses;
--- a/core/src/test/java/org/mustardstage/core/member/MemberCluster.java
+++ b/core/src/test/java/org/mustardstage/core/member/MemberCluster.java
@@ -130,6 +130,31 @@
         sentMessages++;
         network.add(new Delivery(nowNanos + DELAY_NANOS, from, send.to(), send.message()));
       }
+      if (action instanceof MemberAction.Superseded superseded) {
+        renumber(from, superseded.knownNumber() + 1);
+      }
+    }
+  }
+
+  private void renumber(Member member, long number) {
+    Member current = members.get(member.vm());
+    if (current.incarnation().number() < number) {
+      members.put(member.vm(), current.withNumber(number));
+      states.get(member.vm()).renumber(number);
+    }
+  }
+
+  /** Opens links between all VMs that run, on which they introduce themselves. */
+  void introduceAll() {
+    for (Member from : List.copyOf(members.values())) {
+      for (Member to : List.copyOf(members.values())) {
+        if (!from.vm().equals(to.vm())
+            && !crashed.contains(from.vm())
+            && !crashed.contains(to.vm())) {
+          execute(
+              members.get(to.vm()), states.get(to.vm()).addPeer(nowNanos, members.get(from.vm())));
+        }
+      }
     }
   }
 
--- a/core/src/test/java/org/mustardstage/core/member/MembershipTest.java
+++ b/core/src/test/java/org/mustardstage/core/member/MembershipTest.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.mustardstage.core.id.ConfigVersion;
@@ -101,6 +102,57 @@
     assertThat(cluster.status("r0-z0-v0", "r0-z0-v1").liveness(), equalTo(Liveness.ALIVE));
   }
 
+  /** A clock that stepped back before a restart gives the later incarnation a smaller number. */
+  @Test
+  void vmThatRestartsWithASmallerNumberIsAcceptedAsNew() {
+    cluster.add(MemberCluster.member("r0", "r0-z0", "r0-z0-v1", 50, 10_001));
+    cluster.publishList();
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.add(MemberCluster.member("r0", "r0-z0", "r0-z0-v1", 20, 10_001));
+    cluster.introduceAll();
+    cluster.advance(Duration.ofSeconds(1));
+    cluster.introduceAll();
+    cluster.advance(Duration.ofSeconds(9));
+
+    assertThat(cluster.member("r0-z0-v1").incarnation().number(), equalTo(51L));
+    for (String viewer : List.of("r0-z0-v0", "r0-z1-v0", "r1-z0-v0")) {
+      assertThat(cluster.status(viewer, "r0-z0-v1").member().incarnation().number(), equalTo(51L));
+      assertThat(cluster.status(viewer, "r0-z0-v1").liveness(), equalTo(Liveness.ALIVE));
+    }
+  }
+
+  /** Two lives with one number: the later one must not be taken for the leaving one. */
+  @Test
+  void vmThatRestartsWithTheNumberOfALeavingLifeAcceptsCallersAgain() {
+    cluster.advance(Duration.ofSeconds(10));
+    cluster.execute("r0-z0-v1", cluster.state("r0-z0-v1").leave(cluster.nowNanos()));
+    cluster.advance(Duration.ofSeconds(3));
+    cluster.add(MemberCluster.member("r0", "r0-z0", "r0-z0-v1", 1, 10_001));
+    cluster.introduceAll();
+    cluster.advance(Duration.ofSeconds(1));
+    cluster.introduceAll();
+    cluster.advance(Duration.ofSeconds(9));
+
+    assertThat(cluster.member("r0-z0-v1").incarnation().number(), equalTo(2L));
+    assertThat(cluster.status("r0-z0-v0", "r0-z0-v1").acceptsCallers(), is(true));
+  }
+
+  @Test
+  void earlierIncarnationsAreForgotten() {
+    for (int number = 2; number < 200; number++) {
+      cluster.add(MemberCluster.member("r0", "r0-z0", "r0-z0-v1", number, 10_001));
+      cluster.publishList();
+      cluster.advance(Duration.ofSeconds(1));
+    }
+    cluster.advance(Duration.ofNanos(9 * MembershipSettings.defaults().goneAfterNanos()));
+
+    assertThat(
+        cluster.view("r0-z0-v0").statuses().stream()
+            .filter(status -> status.member().vm().value().equals("r0-z0-v1"))
+            .count(),
+        is(1L));
+  }
+
   @Test
   void leavingVmAcceptsNoCallersInAnyView() {
     cluster.advance(Duration.ofSeconds(10));
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -294,6 +294,8 @@
         case MemberAction.SendMessage send ->
             network.send(send.to(), new PeerMessage.Membership(send.message()));
         case MemberAction.ViewChanged changed -> publishMembers();
+        case MemberAction.Superseded superseded ->
+            EventLog.log(Event.NEWER_INCARNATION_SEEN, "other", superseded.knownNumber());
       }
     }
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -238,10 +238,25 @@
         case MemberAction.SendMessage send ->
             network.send(send.to(), new PeerMessage.Membership(send.message()));
         case MemberAction.ViewChanged changed -> publishMembers();
+        case MemberAction.Superseded superseded -> renumber(superseded.knownNumber());
       }
     }
   }
 
+  /**
+   * Takes a number above the one under which the other VMs know this VM. Nothing here is tied to
+   * the number, so it may change while the process runs. The links are opened again, as the other
+   * VMs know them by the old number.
+   */
+  private void renumber(long knownNumber) {
+    EventLog.log(Event.RENUMBERED, "before", self.incarnation().number(), "known", knownNumber);
+    self = self.withNumber(knownNumber + 1);
+    membership.renumber(knownNumber + 1);
+    announcement.reset();
+    network.closeLinks();
+    publishMembers();
+  }
+
   private void publishMembers() {
     MemberView view = membership.view(clock.getAsLong());
     memberView.set(view);
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -50,6 +50,8 @@
   LINK_SILENT(34, Level.WARN),
   /** A process with the same VM name and a higher incarnation number exists. */
   NEWER_INCARNATION_SEEN(35, Level.ERROR),
+  /** This VM took a larger incarnation number, as others know it under one that is not smaller. */
+  RENUMBERED(36, Level.WARN),
   /** The ownership list of a zone changed. */
   OWNERSHIP_CHANGED(40, Level.INFO),
   /** A proposed change of an ownership list was committed, rejected or failed. */
--- a/entry/src/main/java/org/mustardstage/entry/peer/MemberMessageMapper.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MemberMessageMapper.java
@@ -17,6 +17,7 @@
 import org.mustardstage.schema.generated.WireDigests;
 import org.mustardstage.schema.generated.WireHeartbeat;
 import org.mustardstage.schema.generated.WireMember;
+import org.mustardstage.schema.generated.WireSuperseded;
 import org.mustardstage.schema.generated.WireZoneDigest;
 
 /** Converts messages of the membership protocol to their generated wire classes and back. */
@@ -29,6 +30,8 @@
       case MemberMessage.DigestSummary summary ->
           new WireDigestSummary()
               .withCounters(summary.versions().stream().map(MemberMessageMapper::toWire).toList());
+      case MemberMessage.Superseded superseded ->
+          new WireSuperseded().withKnownNumber(superseded.knownNumber());
       case MemberMessage.Digests digests ->
           new WireDigests()
               .withDigests(digests.digests().stream().map(MemberMessageMapper::toWire).toList());
--- a/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
@@ -25,6 +25,7 @@
 import org.mustardstage.schema.generated.WireRowsKnown;
 import org.mustardstage.schema.generated.WireRowsWanted;
 import org.mustardstage.schema.generated.WireStopAnnounced;
+import org.mustardstage.schema.generated.WireSuperseded;
 
 /**
  * A kind of message, with its number in a frame and the wire class of its payload. A number is
@@ -53,7 +54,8 @@
   STOP_ANNOUNCED(20, WireStopAnnounced.class),
   ROWS_WANTED(21, WireRowsWanted.class),
   ROWS_KNOWN(22, WireRowsKnown.class),
-  ENDPOINTS_LEAVING(23, WireEndpointsLeaving.class);
+  ENDPOINTS_LEAVING(23, WireEndpointsLeaving.class),
+  SUPERSEDED(24, WireSuperseded.class);
 
   private final int number;
   private final Class<?> payloadClass;
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -14,6 +14,7 @@
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.member.MemberMessage;
 import org.mustardstage.core.placement.LeavingEndpoint;
 import org.mustardstage.schema.generated.WireConfigAnnounce;
 import org.mustardstage.schema.generated.WireConfigFetch;
@@ -41,6 +42,7 @@
 import org.mustardstage.schema.generated.WireRowsKnown;
 import org.mustardstage.schema.generated.WireRowsWanted;
 import org.mustardstage.schema.generated.WireStopAnnounced;
+import org.mustardstage.schema.generated.WireSuperseded;
 
 /**
  * Encodes messages as the content of frames and decodes them. The content is a MessagePack array of
@@ -217,6 +219,8 @@
       case WireConfigObjects w -> fromWire(w);
       case WireHeartbeat w -> new PeerMessage.Membership(MemberMessageMapper.fromWire(w));
       case WireDigestSummary w -> new PeerMessage.Membership(MemberMessageMapper.fromWire(w));
+      case WireSuperseded w ->
+          new PeerMessage.Membership(new MemberMessage.Superseded(w.getKnownNumber()));
       case WireDigests w -> new PeerMessage.Membership(MemberMessageMapper.fromWire(w));
       case WireLeaseRequest w -> new PeerMessage.Permits(PermitMessageMapper.fromWire(w));
       case WireLeaseWithdrawal w -> new PeerMessage.Permits(PermitMessageMapper.fromWire(w));
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerNetwork.java
@@ -97,10 +97,18 @@
   /** Closes all links and stops accepting connections. */
   public Promise<?> stop() {
     stopped = true;
+    closeLinks();
+    return server.close();
+  }
+
+  /**
+   * Closes all links. The next message to a VM opens a new one, on which this VM introduces itself.
+   */
+  public void closeLinks() {
     List<PeerLink> all = new ArrayList<>(unidentifiedLinks);
     links.values().forEach(all::addAll);
     all.forEach(PeerLink::close);
-    return server.close();
+    lastConnectNanos.clear();
   }
 
   /** Returns the message and byte counts of all links. */
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
@@ -70,6 +70,7 @@
             List.of(
                 new PeerMessage.ConfigObject("abc", Optional.of("{}")),
                 new PeerMessage.ConfigObject("def", Optional.empty()))),
+        new PeerMessage.Membership(new MemberMessage.Superseded(1_700_000_000_000L)),
         new PeerMessage.EndpointsLeaving(
             List.of(new LeavingEndpoint(new EndpointId("i-1"), 1_700_000_000_000L))),
         new PeerMessage.RowsRequest("ENDPOINTS", 2, 12),
