Finish the responses that are being written before a stop; reject malformed rows of peers

Causes, each shown by a test that failed first: awaitIdle counted a request as done when its response was made, not when it was sent, so a planned stop cut a 6 MB response that a slow caller was reading (GracefulStopTest). A value that is not Base64, a negative position or an unknown table in a message of another VM ended in an exception on the control thread or was applied to the wrong table (MalformedPeerMessagesTest).

Change: a stop waits for the connections too. Such messages are logged and ignored whole.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -182,7 +182,7 @@
     eventloop.execute(() -> callerServer.close());
   }
 
-  /** Waits until no request is in flight, at most {@code timeoutMillis}. */
+  /** Waits until all requests have been responded to in full, at most {@code timeoutMillis}. */
   void awaitIdle(long timeoutMillis) {
     CompletableFuture<Void> idle = new CompletableFuture<>();
     long deadlineNanos = System.nanoTime() + Duration.ofMillis(timeoutMillis).toNanos();
@@ -190,12 +190,13 @@
     idle.join();
   }
 
-  private void checkIdle(CompletableFuture<Void> idle, long deadlineNanos) {
-    if (servlet.inFlight() == 0 || System.nanoTime() - deadlineNanos >= 0) {
-      idle.complete(null);
+  private void checkIdle(CompletableFuture<Void> done, long deadlineNanos) {
+    boolean idle = servlet.inFlight() == 0 && callerConnections.areAllIdle();
+    if (idle || System.nanoTime() - deadlineNanos >= 0) {
+      done.complete(null);
       return;
     }
-    eventloop.delay(IDLE_CHECK_INTERVAL_MILLIS, () -> checkIdle(idle, deadlineNanos));
+    eventloop.delay(IDLE_CHECK_INTERVAL_MILLIS, () -> checkIdle(done, deadlineNanos));
   }
 
   /** Closes the endpoint connections and other servers, and stops the traffic thread. */
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
@@ -6,6 +6,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.mustardstage.core.gateway.StorePosition;
@@ -16,6 +17,8 @@
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.Representatives;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
+import org.mustardstage.entry.log.Event;
+import org.mustardstage.entry.log.EventLog;
 import org.mustardstage.entry.peer.PeerMessage;
 
 /**
@@ -184,40 +187,74 @@
    * an earlier era gets the whole table.
    */
   void onRowsWanted(Member from, PeerMessage.RowsRequest message) {
-    PlatformAdapter.Table table = tableNamed(message.table());
-    TableReplica replica = replicas.get(table);
-    StorePosition wanted = new StorePosition(message.era(), message.afterVersion());
-    if (replica.isLoaded() && replica.position().compareTo(wanted) > 0) {
-      long afterVersion = replica.position().isOfLaterEraThan(wanted) ? 0 : wanted.version();
-      sender.accept(from, rowsMessage(table, afterVersion, /* current= */ false));
+    Optional<PlatformAdapter.Table> table = tableNamed(message.table());
+    Optional<StorePosition> wanted = position(message.era(), message.afterVersion());
+    if (table.isEmpty() || wanted.isEmpty()) {
+      logMalformed(from, message);
+      return;
+    }
+    TableReplica replica = replicas.get(table.get());
+    if (replica.isLoaded() && replica.position().compareTo(wanted.get()) > 0) {
+      boolean wholeTable = replica.position().isOfLaterEraThan(wanted.get());
+      long afterVersion = wholeTable ? 0 : wanted.get().version();
+      sender.accept(from, rowsMessage(table.get(), afterVersion, /* current= */ false));
     }
   }
 
   /** Applies the rows that another VM sent; requests the missing ones from it if there is a gap. */
   void onRowsKnown(long nowNanos, Member from, PeerMessage.RowsUpdate message) {
-    List<StoredRow> rows =
-        message.rows().stream()
-            .map(
-                row ->
-                    new StoredRow(
-                        row.key(), row.version(), row.value().map(Base64.getDecoder()::decode)))
-            .toList();
-    PlatformAdapter.Table table = tableNamed(message.table());
+    Optional<PlatformAdapter.Table> table = tableNamed(message.table());
+    Optional<StorePosition> position = position(message.era(), message.version());
+    Optional<List<StoredRow>> rows = decode(message.rows());
+    if (table.isEmpty() || position.isEmpty() || rows.isEmpty()) {
+      logMalformed(from, message);
+      return;
+    }
     boolean complete =
         replicas
-            .get(table)
+            .get(table.get())
             .applyPeerRows(
                 nowNanos,
                 message.afterVersion(),
-                new RowStore.Rows(rows, new StorePosition(message.era(), message.version())),
+                new RowStore.Rows(rows.get(), position.get()),
                 message.current());
     if (complete) {
-      repairIfDifferent(nowNanos, from, message, table);
+      repairIfDifferent(nowNanos, from, message, table.get());
     } else {
-      requestRows(from, table);
+      requestRows(from, table.get());
     }
   }
 
+  private static Optional<StorePosition> position(long era, long version) {
+    return era < 0 || version < 0 ? Optional.empty() : Optional.of(new StorePosition(era, version));
+  }
+
+  /** Returns the decoded rows, or nothing if one of them can't be decoded. */
+  private static Optional<List<StoredRow>> decode(List<PeerMessage.VersionedRow> rows) {
+    try {
+      return Optional.of(
+          rows.stream()
+              .map(
+                  row ->
+                      new StoredRow(
+                          row.key(), row.version(), row.value().map(Base64.getDecoder()::decode)))
+              .toList());
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static void logMalformed(Member from, PeerMessage message) {
+    EventLog.log(
+        Event.BAD_FRAME,
+        "vm",
+        from.incarnation(),
+        "why",
+        "expected a known table, positions that are not negative and values in Base64",
+        "message",
+        message.getClass().getSimpleName());
+  }
+
   /** Requests the whole table from a VM at the same position whose rows differ. */
   private void repairIfDifferent(
       long nowNanos, Member from, PeerMessage.RowsUpdate message, PlatformAdapter.Table table) {
@@ -239,9 +276,7 @@
         from, new PeerMessage.RowsRequest(table.name(), message.era(), /* afterVersion= */ 0));
   }
 
-  private static PlatformAdapter.Table tableNamed(String table) {
-    return table.equals(PlatformAdapter.Table.OPERATOR.name())
-        ? PlatformAdapter.Table.OPERATOR
-        : PlatformAdapter.Table.ENDPOINTS;
+  private Optional<PlatformAdapter.Table> tableNamed(String name) {
+    return replicas.keySet().stream().filter(table -> table.name().equals(name)).findFirst();
   }
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -53,6 +53,7 @@
   FakeEndpoint second;
   GatewayServer server;
   HostAndPort address;
+  private boolean serverStopped;
 
   @BeforeEach
   void start() throws IOException {
@@ -68,12 +69,20 @@
 
   @AfterEach
   void stop() throws IOException {
-    server.stop();
+    stopServer();
     first.close();
     second.close();
     client.close();
   }
 
+  /** Stops the gateway, unless the test has done so. */
+  void stopServer() {
+    if (!serverStopped) {
+      serverStopped = true;
+      server.stop();
+    }
+  }
+
   /** Publishes the endpoints and waits until the traffic thread uses them. */
   void publish(ImmutableList<UsableEndpoint> usable) {
     publish(ImmutableMap.of(ORDERS, usable));
