Call the store only from readers, and not before the members are known

And while VMs start together, each believes that it is a reader: nine calls a VM.

Change: a message about any table shows that its sender reads. A VM takes part in reading only when the members that it knows have stayed the same for 2 s, 6 s at the latest; it reads everything once at its start and misses the readers 1.5 s later than at other times.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.mustardstage.core.gateway.StorePosition;
@@ -48,6 +49,18 @@
 
   private static final long MAX_REPAIR_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+  /**
+   * A VM that has just started doesn't know the other VMs, so it can't tell whether it is a reader.
+   * It waits until the members that it knows have not changed for this long.
+   */
+  private static final long MEMBER_DISCOVERY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  /** How long a VM waits at most for the members that it knows to stay the same. */
+  private static final long MAX_MEMBER_DISCOVERY_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+  /** How much later than at other times a VM that has just started misses the readers. */
+  private static final long START_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
   private final VmId self;
   private final RegionId region;
   private final ImmutableMap<PlatformAdapter.Table, TableReplica> replicas;
@@ -56,6 +69,10 @@
       new EnumMap<>(PlatformAdapter.Table.class);
   private final Map<PlatformAdapter.Table, Repair> repairs =
       new EnumMap<>(PlatformAdapter.Table.class);
+  private OptionalLong startNanos = OptionalLong.empty();
+  private boolean membersKnown;
+  private ImmutableList<Member> lastMembers = ImmutableList.of();
+  private long membersChangedNanos;
   private long lastPeerRequestNanos = Long.MIN_VALUE / 2;
   private int nextPeer;
 
@@ -80,7 +97,8 @@
    * store.
    */
   void onTick(long nowNanos, MemberView view, boolean leaving) {
-    boolean reader = leaving || isReader(self, servingMembersInRegion(view));
+    ImmutableList<Member> members = servingMembersInRegion(view);
+    boolean reader = leaving || (areMembersKnown(nowNanos, members) && isReader(self, members));
     replicas
         .values()
         .forEach(
@@ -96,6 +114,23 @@
     }
   }
 
+  /** Returns whether this VM has run long enough to know the members of its region. */
+  private boolean areMembersKnown(long nowNanos, ImmutableList<Member> members) {
+    if (startNanos.isEmpty()) {
+      startNanos = OptionalLong.of(nowNanos);
+      membersChangedNanos = nowNanos;
+      replicas.values().forEach(replica -> replica.recordReaderAlive(nowNanos + START_GRACE_NANOS));
+    }
+    if (!membersKnown && !members.equals(lastMembers)) {
+      lastMembers = members;
+      membersChangedNanos = nowNanos;
+    }
+    membersKnown |=
+        nowNanos - membersChangedNanos >= MEMBER_DISCOVERY_NANOS
+            || nowNanos - startNanos.getAsLong() >= MAX_MEMBER_DISCOVERY_NANOS;
+    return membersKnown;
+  }
+
   private static boolean isReader(VmId vm, List<Member> members) {
     return members.stream()
         .filter(member -> member.vm().equals(vm))
@@ -210,6 +245,9 @@
       logMalformed(from, message);
       return;
     }
+    if (message.current()) {
+      replicas.values().forEach(replica -> replica.recordReaderAlive(nowNanos));
+    }
     boolean complete =
         replicas
             .get(table.get())
--- a/entry/src/main/java/org/mustardstage/entry/gateway/TableReplica.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/TableReplica.java
@@ -26,7 +26,7 @@
  * eras are never mixed.
  *
  * <p>While another VM of the region is a reader of the store and sends its changes to this one,
- * this replica makes no calls, unless no message of a reader has arrived for {@link
+ * this replica makes no calls, unless no message of a reader about any table has arrived for {@link
  * #READER_TIMEOUT_NANOS}. Rows whose content is unchanged, which only show that their writer is
  * alive, are neither reported as changed nor sent to other VMs.
  */
@@ -56,7 +56,7 @@
   private final Map<String, CachedRow> rows = new HashMap<>();
   private boolean reader = true;
   private boolean callDue;
-  private long lastReaderMessageNanos;
+  private long lastReaderMessageNanos = Long.MIN_VALUE / 2;
   private StorePosition position = StorePosition.START;
 
   /** The sum of the hashes of all rows that exist. */
@@ -187,15 +187,24 @@
       return;
     }
     reader = isReader;
-    lastReaderMessageNanos = nowNanos;
+    recordReaderAlive(nowNanos);
     if (reader && callDue) {
       call();
     }
   }
 
+  /**
+   * Records that a reader has just read a table of the store. It then follows this table too, so
+   * this replica makes no calls of its own for a while.
+   */
+  void recordReaderAlive(long nowNanos) {
+    lastReaderMessageNanos = Math.max(lastReaderMessageNanos, nowNanos);
+  }
+
   /** Calls the store if no message of a reader has arrived within the timeout. */
   void onTick(long nowNanos) {
-    if (!reader && callDue && nowNanos - lastReaderMessageNanos > READER_TIMEOUT_NANOS) {
+    boolean readersSilent = nowNanos - lastReaderMessageNanos > READER_TIMEOUT_NANOS;
+    if (!reader && callDue && (readersSilent || position.equals(StorePosition.START))) {
       call();
     }
   }
@@ -218,7 +227,7 @@
       return false;
     }
     if (current && !reader) {
-      lastReaderMessageNanos = nowNanos;
+      recordReaderAlive(nowNanos);
       setStoreReachable(true, Optional.empty());
     }
     boolean wholeTable = afterVersion == 0;
@@ -325,7 +334,8 @@
       return readWholeTable();
     }
     setStoreReachable(false, Optional.of(failure));
-    callAfter(reader ? retryMillis : NON_READER_RETRY_MILLIS);
+    boolean retriesSoon = reader || position.equals(StorePosition.START);
+    callAfter(retriesSoon ? retryMillis : NON_READER_RETRY_MILLIS);
     retryMillis = Math.min(MAX_RETRY_MILLIS, 2 * retryMillis);
     return false;
   }
