--- a/entry/src/main/java/org/mustardstage/entry/gateway/DeploymentState.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/DeploymentState.java
@@ -180,10 +180,13 @@
       Either<String, RegisteredEndpoint> read = readEndpoint(row);
       if (read.isLeft()) {
         removeEndpoint(nowNanos, row, read.getLeft());
-      } else if (endpointRegistry.updateEntry(nowNanos, read.get())) {
+      } else if (endpointRegistry.updateEntry(nowNanos, read.get()) && endpointsKnown) {
         logEndpoint(read.get(), row.version());
       }
     }
+    if (!endpointsKnown) {
+      EventLog.log(Event.ENDPOINTS_LOADED, "rows", changed.size());
+    }
     endpointsKnown = true;
     publishEndpoints();
   }
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -66,6 +66,8 @@
   ENDPOINT_REGISTERED(52, Level.INFO),
   /** A header of an endpoint's response can't be read. */
   BAD_ENDPOINT_HEADER(53, Level.WARN),
+  /** The table of endpoints was read for the first time since the start. */
+  ENDPOINTS_LOADED(54, Level.INFO),
   /** A request has its outcome. */
   REQUEST_ENDED(60, Level.INFO),
   /** The control thread caught an unexpected exception. */
