--- a/core/src/main/java/org/mustardstage/core/placement/RegionShiftLimiter.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RegionShiftLimiter.java
@@ -1,5 +1,6 @@
 package org.mustardstage.core.placement;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -37,30 +38,46 @@
   private final Map<RegionId, SlidingWindowCount> countByRegion = new HashMap<>();
   private long failoverUntilNanos = Long.MIN_VALUE / 2;
 
-  /** Counts requests of the last two windows. */
+  /** Counts requests of the current window and of the one before it, both ending with a slice. */
   private static final class SlidingWindowCount {
     private final int[] counts = new int[2 * SLICES_PER_WINDOW];
-    private final long[] sliceNumbers = new long[2 * SLICES_PER_WINDOW];
+    private long lastSlice;
+    private int current;
+    private int previous;
 
     void add(long slice) {
-      int index = Math.floorMod(slice, counts.length);
-      if (sliceNumbers[index] != slice) {
-        sliceNumbers[index] = slice;
-        counts[index] = 0;
-      }
-      counts[index]++;
+      advanceTo(slice);
+      counts[Math.floorMod(slice, counts.length)]++;
+      current++;
+    }
+
+    /** Returns the number of requests in the window that ends with {@code slice}. */
+    int current(long slice) {
+      advanceTo(slice);
+      return current;
     }
 
-    /** Returns the number of requests in the window that ends with slice {@code last}. */
-    int sum(long last) {
-      int sum = 0;
-      for (int index = 0; index < counts.length; index++) {
-        sum +=
-            sliceNumbers[index] <= last && sliceNumbers[index] > last - SLICES_PER_WINDOW
-                ? counts[index]
-                : 0;
+    /** Returns the number of requests in the window before the one that ends with {@code slice}. */
+    int previous(long slice) {
+      advanceTo(slice);
+      return previous;
+    }
+
+    private void advanceTo(long slice) {
+      if (slice - lastSlice >= counts.length) {
+        Arrays.fill(counts, 0);
+        current = 0;
+        previous = 0;
+        lastSlice = slice;
+      }
+      while (lastSlice < slice) {
+        lastSlice++;
+        int leavingCurrent = counts[Math.floorMod(lastSlice - SLICES_PER_WINDOW, counts.length)];
+        int expiredIndex = Math.floorMod(lastSlice, counts.length);
+        current -= leavingCurrent;
+        previous += leavingCurrent - counts[expiredIndex];
+        counts[expiredIndex] = 0;
       }
-      return sum;
     }
   }
 
@@ -101,12 +118,12 @@
       return true;
     }
     long slice = nowNanos / sliceNanos;
-    int now = totalCount.sum(slice) + 1;
-    int before = totalCount.sum(slice - SLICES_PER_WINDOW);
+    int now = totalCount.current(slice) + 1;
+    int before = totalCount.previous(slice);
     countByRegion.computeIfAbsent(other, key -> new SlidingWindowCount());
     double risen = 0;
     for (Map.Entry<RegionId, SlidingWindowCount> each : countByRegion.entrySet()) {
-      int sent = each.getValue().sum(slice) + (each.getKey().equals(other) ? 1 : 0);
+      int sent = each.getValue().current(slice) + (each.getKey().equals(other) ? 1 : 0);
       risen += Math.max(0, sent - expected(each.getValue(), slice, now, before));
     }
     return risen <= maxShift * now + burstAllowance;
@@ -118,13 +135,14 @@
    */
   Optional<RegionId> requiredRegion(long nowNanos) {
     long slice = nowNanos / sliceNanos;
-    int now = totalCount.sum(slice) + 1;
-    int before = totalCount.sum(slice - SLICES_PER_WINDOW);
+    int now = totalCount.current(slice) + 1;
+    int before = totalCount.previous(slice);
     double fallen = 0;
     double most = 0;
     Optional<RegionId> required = Optional.empty();
     for (Map.Entry<RegionId, SlidingWindowCount> each : countByRegion.entrySet()) {
-      double missing = expected(each.getValue(), slice, now, before) - each.getValue().sum(slice);
+      double missing =
+          expected(each.getValue(), slice, now, before) - each.getValue().current(slice);
       fallen += Math.max(0, missing);
       if (missing > most) {
         most = missing;
@@ -139,8 +157,6 @@
    * window, which had {@code before} requests in total.
    */
   private static double expected(SlidingWindowCount sent, long slice, int now, int before) {
-    return before < MIN_WINDOW_REQUESTS
-        ? 0
-        : (double) now * sent.sum(slice - SLICES_PER_WINDOW) / before;
+    return before < MIN_WINDOW_REQUESTS ? 0 : (double) now * sent.previous(slice) / before;
   }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/RoundTripEstimates.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RoundTripEstimates.java
@@ -47,6 +47,11 @@
     return ownRegion.equals(regionByZone.get(zone)) ? Proximity.OWN_REGION : Proximity.OTHER_REGION;
   }
 
+  /** Returns the region of the VM. */
+  public RegionId ownRegion() {
+    return ownRegion;
+  }
+
   /** Returns the region of {@code zone}, or the own region if the zone is unknown. */
   public RegionId regionOf(ZoneId zone) {
     return regionByZone.getOrDefault(zone, ownRegion);
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -70,6 +70,7 @@
   private PlacementSettings settings;
   private ServiceSpec spec;
   private ImmutableList<EndpointState> usableEndpoints = ImmutableList.of();
+  private int ownRegionSlots;
   private Predicate<RegisteredEndpoint> coldEndpointFilter = endpoint -> true;
   private double meanServiceTimeNanos;
 
@@ -134,6 +135,8 @@
     endpoints.clear();
     endpoints.putAll(newStates);
     usableEndpoints = ImmutableList.sortedCopyOf(BY_ID, newStates.values());
+    ownRegionSlots =
+        usableEndpoints.stream().filter(this::isInOwnRegion).mapToInt(EndpointState::slots).sum();
     rendezvousOrder.setEndpoints(usableEndpoints);
   }
 
@@ -184,13 +187,7 @@
   }
 
   private int slotsInOwnRegion(SchedulerRequest request) {
-    int slots = 0;
-    for (EndpointState state : usableEndpoints) {
-      if (isInOwnRegion(state) && request.rule().allowsRegion(regionOf(state))) {
-        slots += state.slots();
-      }
-    }
-    return slots;
+    return request.rule().allowsRegion(roundTrips.ownRegion()) ? ownRegionSlots : 0;
   }
 
   private boolean isInOwnRegion(EndpointState state) {
@@ -212,9 +209,11 @@
       return;
     }
     state.recordFinished();
+    int slotsBefore = state.slots();
     result
         .loadReport()
         .ifPresent(report -> state.recordLoadReport(nowNanos, report, meanServiceTimeNanos));
+    ownRegionSlots += isInOwnRegion(state) ? state.slots() - slotsBefore : 0;
     if (result.status() == AttemptResult.Status.ANSWERED) {
       updateEstimates(nowNanos, placed, state, result);
     } else if (result.status() == AttemptResult.Status.SILENT) {
