--- a/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
@@ -41,6 +41,56 @@
   private long nowNanos = NANOS_PER_SECOND;
   private long nextId = 1;
 
+  /** Around a hand-over two VMs believe that they are the one that sends to a cold endpoint. */
+  @Test
+  void twoVmsThatBothSendToAColdEndpointStayWithinItsLimit() {
+    int coldPerSecond = 10;
+    List<ServiceScheduler> vms = new ArrayList<>();
+    for (int i = 0; i < 2; i++) {
+      ServiceScheduler vm =
+          new ServiceScheduler(
+              PlacementFixtures.spec(coldPerSecond),
+              PlacementSettings.forSchedulerCount(1),
+              PlacementFixtures.roundTrips(),
+              PlacementFixtures.regionShiftLimiter());
+      UsableEndpoint warm =
+          PlacementFixtures.endpoints(PlacementFixtures.OWN_ZONE, 1, 9).getFirst();
+      vm.setEndpoints(
+          nowNanos,
+          ImmutableList.of(new UsableEndpoint(warm.endpoint(), nowNanos + 100 * NANOS_PER_SECOND)));
+      vms.add(vm);
+    }
+    int placed = 0;
+    int seconds = 5;
+    for (int i = 0; i < 1_000 * seconds; i++) {
+      nowNanos += NANOS_PER_MILLI;
+      for (ServiceScheduler vm : vms) {
+        SchedulerRequest request =
+            new SchedulerRequest(
+                nextId++,
+                READ,
+                Optional.empty(),
+                nowNanos,
+                nowNanos + NANOS_PER_SECOND,
+                nowNanos + NANOS_PER_SECOND,
+                Set.of());
+        Optional<PlacementDecision> decision = vm.placeOrEnqueue(nowNanos, request);
+        if (decision.orElse(null) instanceof PlacementDecision.Placed sent) {
+          placed++;
+          vm.release(
+              nowNanos,
+              sent,
+              PlacementFixtures.result(AttemptResult.Status.ANSWERED, 10 * NANOS_PER_MILLI));
+        } else {
+          vm.cancel(request);
+        }
+      }
+    }
+
+    assertThat(placed, is(greaterThan(0)));
+    assertThat(placed, is(lessThanOrEqualTo((int) (1.5 * coldPerSecond * seconds))));
+  }
+
   @Test
   void requestsForOneKeyStayAtOneEndpointWhileItHasFreeSlots() {
     scheduler.setEndpoints(nowNanos, PlacementFixtures.endpoints(PlacementFixtures.OWN_ZONE, 4, 9));
--- a/entry/src/test/java/org/mustardstage/entry/gateway/EndpointNoticeTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/EndpointNoticeTest.java
@@ -121,6 +121,26 @@
     }
   }
 
+  /** Guards against an unexpected error on the traffic thread that takes the process down. */
+  @Test
+  void unexpectedErrorEndsNoOtherRequest() throws Exception {
+    server.setLeavingListener(
+        endpoint -> {
+          throw new IllegalStateException("test");
+        });
+    publish(first);
+    first.setHandler(
+        (request, socket) ->
+            FakeEndpoint.respond(
+                request, socket, "200 OK", "X-Server-Seal: s\r\nServer-Leaving: 1\r\n", "last"));
+    assertThat(get(IDEMPOTENT_PATH).statusCode(), is(greaterThan(0)));
+
+    publish(second);
+    for (int i = 0; i < 5; i++) {
+      assertThat(get(IDEMPOTENT_PATH).statusCode(), is(200));
+    }
+  }
+
   /** An endpoint's 503 without the header that says so does not promise that nothing ran. */
   @Test
   void refusalThatMayHaveRunIsNotForwardedAsAPromise() throws Exception {
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -85,6 +85,37 @@
     }
   }
 
+  /**
+   * Guards against an endpoint that has left and is used again by a VM that restarts: the store
+   * still says that it is ready, but its responses told the other VM that it is leaving.
+   */
+  @Test
+  void vmThatStartsLearnsWhichEndpointsSaidThatTheyAreLeaving() throws Exception {
+    RecordingStateListener firstState = new RecordingStateListener();
+    RecordingStateListener secondState = new RecordingStateListener();
+    HostAndPort firstPeer = TestPorts.freeAddress();
+    FakeAdapter adapter = new FakeAdapter(new ReachableStore());
+    GatewayControl first =
+        new GatewayControl(settings("vm-1", firstPeer, List.of()), adapter, 1, firstState);
+    GatewayControl second =
+        new GatewayControl(
+            settings("vm-2", TestPorts.freeAddress(), List.of(firstPeer)),
+            new FakeAdapter(new ReachableStore()),
+            1,
+            secondState);
+    first.start();
+    RegisteredEndpoint leaving = firstState.awaitEndpoints(1).get(ORDERS).getFirst().endpoint();
+    first.onEndpointLeaving(leaving);
+    firstState.awaitEndpoints(0);
+    second.start();
+    try {
+      assertThat(secondState.awaitEndpoints(0).get(ORDERS), hasSize(0));
+    } finally {
+      first.stop();
+      second.stop();
+    }
+  }
+
   private static GatewaySettings settings(String vm, HostAndPort peer, List<HostAndPort> seeds)
       throws IOException {
     return new GatewaySettings(
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
@@ -205,6 +205,23 @@
     assertThat(response.statusCode(), is(504));
   }
 
+  /**
+   * Silence says nothing about whether a request runs, so it is neither sent again nor given up.
+   */
+  @Test
+  void nonIdempotentRequestStaysAtAnEndpointThatIsSilentForAWhile() throws Exception {
+    FakeEndpoint.Handler slow =
+        (request, socket) -> {
+          Thread.sleep(800);
+          FakeEndpoint.respondOk(request, socket, "late");
+        };
+    first.setHandler(slow);
+    second.setHandler(slow);
+
+    assertThat(post(NON_IDEMPOTENT_PATH, "x").body(), is("late"));
+    assertThat(first.receivedRequests().size() + second.receivedRequests().size(), is(1));
+  }
+
   @Test
   void requestIsSentElsewhereWhenItsEndpointIsGone() throws Exception {
     first.close();
