--- a/core/src/main/java/org/mustardstage/core/member/Representatives.java
+++ b/core/src/main/java/org/mustardstage/core/member/Representatives.java
@@ -4,7 +4,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.mustardstage.core.id.VmId;
 
 /**
  * Elects the VM that represents a zone or a region: the candidate with the smallest hash, so that
@@ -12,6 +15,13 @@
  * both act as the representative, which only costs additional messages.
  */
 public final class Representatives {
+  /** Bounds the memory of the cache, which is cleared when it holds more. */
+  private static final int MAX_CACHED_RANKS = 10_000;
+
+  private static final Map<RankKey, Long> RANKS = new ConcurrentHashMap<>();
+
+  private record RankKey(String group, VmId vm) {}
+
   private Representatives() {}
 
   /**
@@ -39,9 +49,17 @@
     return precedingCount < count;
   }
 
+  /** Returns the hash, which is asked for again with each heartbeat. */
   private static long rank(String group, Member member) {
+    if (RANKS.size() >= MAX_CACHED_RANKS) {
+      RANKS.clear();
+    }
+    return RANKS.computeIfAbsent(new RankKey(group, member.vm()), Representatives::computeRank);
+  }
+
+  private static long computeRank(RankKey key) {
     return Hashing.murmur3_128()
-        .hashString(group + "/" + member.vm().value(), StandardCharsets.UTF_8)
+        .hashString(key.group() + "/" + key.vm().value(), StandardCharsets.UTF_8)
         .asLong();
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -81,6 +81,10 @@
   private final StoreAnnouncement announcement = new StoreAnnouncement();
   private final AtomicReference<MemberView> memberView;
   private Member self;
+
+  /** The number of VMs of the own zone that are believed alive, on which link timeouts depend. */
+  private int aliveInOwnZone = 1;
+
   private volatile boolean leaving;
   private long lastVmListReadNanos = Long.MIN_VALUE / 2;
   private long lastLinkCheckNanos = Long.MIN_VALUE / 2;
@@ -260,6 +264,7 @@
   private void publishMembers() {
     MemberView view = membership.view(clock.getAsLong());
     memberView.set(view);
+    aliveInOwnZone = view.aliveInOwnZone().size();
     stateListener.onMembers(view);
     EventLog.log(
         Event.MEMBERS_CHANGED,
@@ -451,7 +456,7 @@
     public long silenceTimeoutNanos(Member member) {
       long periodNanos =
           member.zone().equals(self.zone())
-              ? membershipSettings.heartbeatIntervalNanos(memberView.get().aliveInOwnZone().size())
+              ? membershipSettings.heartbeatIntervalNanos(aliveInOwnZone)
               : membershipSettings.otherRegionHeartbeatIntervalNanos();
       return MISSED_HEARTBEATS_UNTIL_SILENT * periodNanos;
     }
