--- a/core/src/main/java/org/mustardstage/core/member/Membership.java
+++ b/core/src/main/java/org/mustardstage/core/member/Membership.java
@@ -34,6 +34,7 @@
   private final DigestTable digestTable = new DigestTable();
   private final SilentZoneDetector silentZoneDetector;
   private final HeartbeatSchedule heartbeatSchedule;
+  private final MemberRanks ranks = new MemberRanks();
   private final Map<VmId, Long> lastSummaryNanos = new HashMap<>();
   private Member self;
   private ConfigVersion configVersion = ConfigVersion.NONE;
@@ -314,7 +315,7 @@
       return Optional.of(candidates.get((int) Math.floorMod(turn / 2, (long) candidates.size())));
     }
     List<Member> inZone = candidates.stream().filter(m -> m.zone().value().equals(zone)).toList();
-    return Representatives.choose(zone, inZone.isEmpty() ? candidates : inZone);
+    return Representatives.choose(ranks, zone, inZone.isEmpty() ? candidates : inZone);
   }
 
   private List<Member> candidatesOf(ZoneId zone) {
@@ -376,7 +377,7 @@
   }
 
   private Optional<Member> representativeOf(long nowNanos) {
-    return Representatives.choose(self.zone().value(), aliveInZone(nowNanos));
+    return Representatives.choose(ranks, self.zone().value(), aliveInZone(nowNanos));
   }
 
   private boolean isZoneRepresentative(long nowNanos) {
@@ -402,7 +403,7 @@
   /** Returns whether this VM polls the platform's rows on behalf of its zone. */
   public boolean isPoller(long nowNanos) {
     return Representatives.isAmongFirst(
-        PLATFORM_POLLERS_PER_ZONE, "poll/" + self.zone(), self, aliveInZone(nowNanos));
+        ranks, PLATFORM_POLLERS_PER_ZONE, "poll/" + self.zone(), self, aliveInZone(nowNanos));
   }
 
   /** Returns whether this VM should fetch the platform's list of entry VMs. */
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
@@ -14,6 +14,7 @@
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.member.Member;
+import org.mustardstage.core.member.MemberRanks;
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.Representatives;
@@ -65,6 +66,7 @@
   private final RegionId region;
   private final ImmutableMap<PlatformAdapter.Table, TableReplica> replicas;
   private final BiConsumer<Member, PeerMessage> sender;
+  private final MemberRanks ranks = new MemberRanks();
   private final Map<PlatformAdapter.Table, StorePosition> sentPositions =
       new EnumMap<>(PlatformAdapter.Table.class);
   private final Map<PlatformAdapter.Table, Repair> repairs =
@@ -131,11 +133,12 @@
     return membersKnown;
   }
 
-  private static boolean isReader(VmId vm, List<Member> members) {
+  private boolean isReader(VmId vm, List<Member> members) {
     return members.stream()
         .filter(member -> member.vm().equals(vm))
         .anyMatch(
-            member -> Representatives.isAmongFirst(READERS_PER_REGION, "store", member, members));
+            member ->
+                Representatives.isAmongFirst(ranks, READERS_PER_REGION, "store", member, members));
   }
 
   /** Returns the VMs of this region that are alive and not leaving. */
