Let readers tell their position in both tables

Since VMs hear from readers about any table, one that missed a message of the operators' table no longer called the store itself after 1.5 s, and noticed the gap only with the next change or after 4 s.

Change: a reader's message about one table is accompanied by its position in the others.

Result: StoreCallsTest.readerTellsThePositionOfTheOtherTableToo.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
@@ -174,21 +174,32 @@
 
   /**
    * Sends the changes that this VM has read from the store to the VMs of the region that aren't
-   * readers. A message without rows tells them that the store has no changes.
+   * readers. A message without rows tells them that the store has no changes. The position of the
+   * other tables is sent too: a VM that has missed their last message would otherwise learn that
+   * only with their next change, as it doesn't call the store while it hears from readers.
    */
   void sendChanges(PlatformAdapter.Table table, MemberView view, boolean leaving) {
     ImmutableList<Member> members = servingMembersInRegion(view);
     if (leaving || !isReader(self, members)) {
       return;
     }
+    List<Member> receivers =
+        members.stream().filter(member -> !isReader(member.vm(), members)).toList();
+    replicas.forEach(
+        (each, replica) -> {
+          if (each == table || (replica.isLoaded() && replica.isStoreReachable())) {
+            sendChanges(each, receivers);
+          }
+        });
+  }
+
+  private void sendChanges(PlatformAdapter.Table table, List<Member> receivers) {
     StorePosition position = replicas.get(table).position();
     StorePosition sent = sentPositions.getOrDefault(table, StorePosition.START);
     sentPositions.put(table, position);
     long afterVersion = position.isOfLaterEraThan(sent) ? 0 : sent.version();
     PeerMessage changes = rowsMessage(table, afterVersion, /* current= */ true);
-    members.stream()
-        .filter(member -> !isReader(member.vm(), members))
-        .forEach(member -> sender.accept(member, changes));
+    receivers.forEach(member -> sender.accept(member, changes));
   }
 
   /** Sends {@code message} to the other VMs of the region that are alive and not leaving. */
--- a/entry/src/test/java/org/mustardstage/entry/gateway/StoreCallsTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/StoreCallsTest.java
@@ -140,6 +140,26 @@
     assertThat(stores.get(PlatformAdapter.Table.ENDPOINTS).calls, is(lessThanOrEqualTo(1)));
   }
 
+  /**
+   * Found by hunt-d39d-7 of ren-dat-cho: a VM that missed one message of the operators' table heard
+   * from the readers about endpoints, and took a configuration more than 3 s late.
+   */
+  @Test
+  void readerTellsThePositionOfTheOtherTableToo() {
+    List<PeerMessage> sent = new ArrayList<>();
+    RowReplicator ofReader =
+        new RowReplicator(
+            reader.vm(), REGION, ImmutableMap.copyOf(replicas), (to, message) -> sent.add(message));
+
+    ofReader.sendChanges(PlatformAdapter.Table.ENDPOINTS, view(members), /* leaving= */ false);
+
+    assertThat(
+        sent.stream()
+            .filter(m -> m instanceof PeerMessage.RowsUpdate u && u.table().equals("OPERATOR"))
+            .count(),
+        is((long) members.size() - 2));
+  }
+
   @Test
   void vmWithoutReadersCallsTheStoreItself() {
     for (int i = 0; i < 40; i++) {
