Read and log the limit that endpoints name in responses

ENDPOINT_LIMIT_CHANGED (MS0055) now says when a VM heard an endpoint name, change or drop its limit. Nothing is decided by it yet.

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointNotice.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointNotice.java
@@ -9,10 +9,12 @@
  *
  * @param leaving whether the endpoint is about to stop and wants no new requests
  * @param retryAfter how long the endpoint wants no requests from this VM
+ * @param limit the rate of requests that the endpoint takes from all VMs together
  */
-public record EndpointNotice(boolean leaving, Optional<Duration> retryAfter) {
+public record EndpointNotice(boolean leaving, Optional<Duration> retryAfter, LimitNotice limit) {
   /** The notice in a response that says nothing of the kind. */
-  public static final EndpointNotice NONE = new EndpointNotice(false, Optional.empty());
+  public static final EndpointNotice NONE =
+      new EndpointNotice(false, Optional.empty(), LimitNotice.UNKNOWN);
 
   /** Checks that the time is not negative. */
   public EndpointNotice {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -24,6 +24,7 @@
 import org.mustardstage.core.member.Representatives;
 import org.mustardstage.core.overload.RetryBudget;
 import org.mustardstage.core.placement.AttemptResult;
+import org.mustardstage.core.placement.LimitNotice;
 import org.mustardstage.core.placement.PlacementDecision;
 import org.mustardstage.core.placement.PlacementSettings;
 import org.mustardstage.core.placement.RegionShiftLimiter;
@@ -32,6 +33,8 @@
 import org.mustardstage.core.placement.SchedulerRequest;
 import org.mustardstage.core.placement.ServiceScheduler;
 import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.entry.log.Event;
+import org.mustardstage.entry.log.EventLog;
 
 /**
  * Places requests by the schedulers of all services on this VM. Used on the traffic thread only, so
@@ -54,6 +57,7 @@
   private final Map<ServiceName, ServiceScheduler> schedulers = new HashMap<>();
   private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
   private final Map<Long, Pending> pending = new HashMap<>();
+  private final Map<EndpointId, LimitNotice> loggedLimits = new HashMap<>();
   private Optional<MemberView> members = Optional.empty();
   private Consumer<RegisteredEndpoint> leavingListener = endpoint -> {};
 
@@ -227,6 +231,7 @@
   @Override
   public void release(ServiceName service, PlacementDecision.Placed placed, AttemptResult result) {
     ServiceScheduler scheduler = schedulers.get(service);
+    logLimit(placed.endpoint().id(), result.notice().limit());
     if (result.notice().leaving()) {
       leavingListener.accept(placed.endpoint());
     }
@@ -236,6 +241,21 @@
     }
   }
 
+  private void logLimit(EndpointId endpoint, LimitNotice limit) {
+    if (limit instanceof LimitNotice.Unknown) {
+      return;
+    }
+    LimitNotice before =
+        limit instanceof LimitNotice.Unlimited
+            ? loggedLimits.remove(endpoint)
+            : loggedLimits.put(endpoint, limit);
+    LimitNotice known = before == null ? LimitNotice.UNLIMITED : before;
+    if (!limit.equals(known)) {
+      EventLog.log(
+          Event.ENDPOINT_LIMIT_CHANGED, "endpoint", endpoint, "before", known, "now", limit);
+    }
+  }
+
   private void startTicking() {
     if (!ticking) {
       ticking = true;
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointReport.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointReport.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.mustardstage.core.placement.AttemptResult.LoadReport;
 import org.mustardstage.core.placement.EndpointNotice;
+import org.mustardstage.core.placement.LimitNotice;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
 
@@ -33,24 +34,35 @@
             : Optional.empty();
     return new EndpointReport(
         response.headers().find(names.load()).flatMap(EndpointReport::parseLoad),
-        new EndpointNotice(isLeaving(response, names), retryAfter));
+        new EndpointNotice(isLeaving(response, names), retryAfter, readLimit(response, names)));
   }
 
   private static boolean isLeaving(EndpointResponse response, HeaderNames names) {
     return response.headers().find(names.leaving()).filter("1"::equals).isPresent();
   }
 
+  private static LimitNotice readLimit(EndpointResponse response, HeaderNames names) {
+    Optional<String> text = response.headers().find(names.requestLimit());
+    if (text.isEmpty()) {
+      return LimitNotice.UNLIMITED;
+    }
+    Double requestsPerSecond = Doubles.tryParse(text.get());
+    if (requestsPerSecond == null || !(requestsPerSecond >= 0) || requestsPerSecond.isInfinite()) {
+      logUnreadable(
+          names.requestLimit(), text.get(), "a number of requests per second, 0 or larger");
+      return LimitNotice.UNKNOWN;
+    }
+    return new LimitNotice.Limited(requestsPerSecond);
+  }
+
+  private static void logUnreadable(String header, String value, String expected) {
+    EventLog.log(Event.BAD_ENDPOINT_HEADER, "header", header, "value", value, "expected", expected);
+  }
+
   private static Optional<Duration> parseRetryAfter(String text) {
     Double seconds = Doubles.tryParse(text);
     if (seconds == null || seconds.isNaN() || seconds < 0) {
-      EventLog.log(
-          Event.BAD_ENDPOINT_HEADER,
-          "header",
-          RETRY_AFTER,
-          "value",
-          text,
-          "expected",
-          "a number of seconds that is not negative");
+      logUnreadable(RETRY_AFTER, text, "a number of seconds that is not negative");
       return Optional.empty();
     }
     double millis = Math.min(seconds, MAX_RETRY_AFTER_SECONDS) * MILLIS_PER_SECOND;
--- a/entry/src/main/java/org/mustardstage/entry/gateway/HeaderNames.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/HeaderNames.java
@@ -10,6 +10,7 @@
  * @param notExecuted present if the endpoint did not run the request
  * @param load the endpoint's running requests, queued requests and slots
  * @param leaving present in the responses of an endpoint that is about to stop
+ * @param requestLimit the requests per second that the endpoint takes from all VMs together
  * @param affinityCookie the cookie that holds the affinity key of a request (not a header)
  */
 public record HeaderNames(
@@ -20,4 +21,5 @@
     String notExecuted,
     String load,
     String leaving,
+    String requestLimit,
     String affinityCookie) {}
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -68,6 +68,8 @@
   BAD_ENDPOINT_HEADER(53, Level.WARN),
   /** The table of endpoints was read for the first time since the start. */
   ENDPOINTS_LOADED(54, Level.INFO),
+  /** An endpoint named a limit on its requests, changed it or ended it. */
+  ENDPOINT_LIMIT_CHANGED(55, Level.INFO),
   /** A request has its outcome. */
   REQUEST_ENDED(60, Level.INFO),
   /** The control thread caught an unexpected exception. */
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -235,7 +235,7 @@
     @Override
     public HeaderNames headerNames() {
       return new HeaderNames(
-          "Id", "Deadline", "Expected", "Seal", "Not-Run", "Load", "Leaving", "Object");
+          "Id", "Deadline", "Expected", "Seal", "Not-Run", "Load", "Leaving", "Limit", "Object");
     }
 
     @Override
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -205,6 +205,7 @@
           "X-Not-Executed",
           "X-Server-Load",
           "Server-Leaving",
+          "Server-Limit",
           "X-Affinity-Key");
     }
 
