--- /dev/null
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -0,0 +1,203 @@
+package org.mustardstage.entry.gateway;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.mustardstage.core.gateway.CallerLimits;
+import org.mustardstage.core.gateway.GatewayConfig;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.gateway.RoutingRule;
+import org.mustardstage.core.gateway.ServiceSpec;
+import org.mustardstage.core.gateway.StorePosition;
+import org.mustardstage.core.gateway.WeightedService;
+import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.member.Member;
+import org.mustardstage.core.placement.RegionShiftLimit;
+import org.mustardstage.entry.platform.PlatformFailure;
+import org.mustardstage.entry.platform.VmList;
+
+/**
+ * Runs whole VMs in this process, linked over loopback, with a store that holds one rule and the
+ * endpoints of one service.
+ */
+final class FakeDeployment implements AutoCloseable {
+  private static final ServiceName SERVICE = new ServiceName("orders");
+  private static final ZoneId ZONE = new ZoneId("north-a");
+  private static final RegionId REGION = new RegionId("north");
+
+  /** The header by which endpoints name the requests per second that they take. */
+  static final String LIMIT_HEADER = "Server-Limit";
+
+  private final List<RegisteredEndpoint> endpoints;
+  private final List<GatewayProcess> vms = new ArrayList<>();
+  private final List<HostAndPort> callerAddresses = new CopyOnWriteArrayList<>();
+  private final List<HostAndPort> peerAddresses = new ArrayList<>();
+
+  FakeDeployment(List<FakeEndpoint> endpoints) {
+    this.endpoints = endpoints.stream().map(FakeEndpoint::registration).toList();
+  }
+
+  /** Starts one more VM, which knows the peer address of the first one. */
+  void startVm() throws IOException {
+    HostAndPort callers = TestPorts.freeAddress();
+    HostAndPort peers = TestPorts.freeAddress();
+    int number = vms.size() + 1;
+    GatewaySettings settings =
+        new GatewaySettings(
+            new VmId("vm-" + number),
+            ZONE,
+            REGION,
+            ImmutableMap.of(ZONE, REGION),
+            callers,
+            TestPorts.freeAddress(),
+            Optional.empty(),
+            peers,
+            TestPorts.freeAddress(),
+            TestPorts.freeAddress(),
+            peerAddresses.stream().limit(1).toList(),
+            /* answerLifetimeMillis= */ 100,
+            /* stopWithinMillis= */ 1_000,
+            0.2,
+            100,
+            new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
+            420,
+            "info");
+    GatewayProcess vm = new GatewayProcess(settings, new Adapter(), 1);
+    vm.start();
+    vms.add(vm);
+    callerAddresses.add(callers);
+    peerAddresses.add(peers);
+  }
+
+  /** Returns the addresses at which the VMs take requests, in the order of their start. */
+  List<HostAndPort> callerAddresses() {
+    return callerAddresses;
+  }
+
+  @Override
+  public void close() {
+    vms.parallelStream().forEach(GatewayProcess::stop);
+  }
+
+  private GatewayConfig config() {
+    RoutingRule rule =
+        new RoutingRule(
+            "all",
+            "/",
+            /* idempotent= */ true,
+            500,
+            1,
+            true,
+            List.of(new WeightedService(SERVICE, 1)),
+            2_000,
+            3,
+            ImmutableSet.of());
+    return new GatewayConfig(
+        new ConfigVersion(1),
+        new CallerLimits(16_384, 1 << 20, 3_000, 15_000),
+        List.of(new ServiceSpec(SERVICE, "/health", 700, 3_000, 17)),
+        Map.of("127.0.0.1", List.of(rule)));
+  }
+
+  private final class Store implements RowStore {
+    @Override
+    public Promise<Either<PlatformFailure, Rows>> readAll(PlatformAdapter.Table table) {
+      List<StoredRow> rows =
+          switch (table) {
+            case OPERATOR -> List.of(row("config"));
+            case ENDPOINTS -> endpoints.stream().map(each -> row(each.id().value())).toList();
+          };
+      return Promise.of(Either.right(new Rows(rows, new StorePosition(0, 5))));
+    }
+
+    private StoredRow row(String key) {
+      return new StoredRow(key, 2, Optional.of(key.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Override
+    public Promise<Either<PlatformFailure, Rows>> readChanges(
+        PlatformAdapter.Table table, long afterVersion, long waitMillis) {
+      return new SettablePromise<>();
+    }
+  }
+
+  private static final class UnreachableVmList implements VmList {
+    @Override
+    public Promise<Either<PlatformFailure, List<Member>>> read() {
+      return Promise.of(Either.left(new PlatformFailure.Refused(503)));
+    }
+
+    @Override
+    public Promise<Either<PlatformFailure, Void>> announce(Member self) {
+      return Promise.of(Either.left(new PlatformFailure.Refused(503)));
+    }
+  }
+
+  private final class Adapter implements PlatformAdapter {
+    @Override
+    public HeaderNames headerNames() {
+      return new HeaderNames(
+          "X-Request-Id",
+          "X-Deadline-Ms",
+          "X-Expect-Instance",
+          "X-Server-Seal",
+          "X-Not-Executed",
+          "X-Server-Load",
+          "Server-Leaving",
+          LIMIT_HEADER,
+          "X-Affinity-Key");
+    }
+
+    @Override
+    public RowStore rowStore(Eventloop eventloop) {
+      return new Store();
+    }
+
+    @Override
+    public VmList vmList(Eventloop eventloop) {
+      return new UnreachableVmList();
+    }
+
+    @Override
+    public Either<String, OperatorRow> readOperatorRow(String key, byte[] value) {
+      return Either.right(new OperatorRow.Config(config()));
+    }
+
+    @Override
+    public Either<String, RegisteredEndpoint> readEndpoint(String key, byte[] value) {
+      return Either.right(
+          endpoints.stream()
+              .filter(endpoint -> endpoint.id().value().equals(key))
+              .findFirst()
+              .orElseThrow());
+    }
+
+    @Override
+    public AsyncServlet readinessServlet(Eventloop eventloop, GatewayStatus status) {
+      return request -> HttpResponse.ok200().toPromise();
+    }
+
+    @Override
+    public AsyncServlet lookupServlet(Eventloop eventloop, GatewayStatus status) {
+      return request -> HttpResponse.ok200().toPromise();
+    }
+  }
+}
