Keep requests to an endpoint within the limit that it names, over all VMs

Cause: nobody read the header; and no class could have kept it, as all rates towards endpoints are decided by each VM for itself. The limit is a sum over VMs. At hundreds of VMs a share for each is less than one request in many seconds, and the first request of each exceeds the limit already.

One VM of the endpoint's region, elected by hash over the members, now sends to it; LimitShares holds back VMs that start, that have just become the elected one, and reduces the share by the VMs of the region that may only be cut off. The others hear of the limit and of its end by messages. If none comes, they try one after another within a quarter of the limit.

--- a/core/src/main/java/org/mustardstage/core/member/Representatives.java
+++ b/core/src/main/java/org/mustardstage/core/member/Representatives.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Optional;
+import org.mustardstage.core.id.VmId;
 
 /**
  * Elects the VM that represents a zone or a region: the candidate with the smallest hash, so that
@@ -44,12 +45,16 @@
    */
   public static boolean isAmongFirst(
       MemberRanks ranks, int count, String group, Member member, Collection<Member> candidates) {
-    long ownRank = ranks.rank(group, member.vm());
-    long precedingCount =
+    return rankOf(ranks, group, member.vm(), candidates) < count;
+  }
+
+  /** Returns how many of {@code candidates} come before {@code vm} by hash. */
+  public static int rankOf(
+      MemberRanks ranks, String group, VmId vm, Collection<Member> candidates) {
+    long ownRank = ranks.rank(group, vm);
+    return (int)
         candidates.stream()
-            .filter(
-                other -> !other.vm().equals(member.vm()) && ranks.rank(group, other.vm()) < ownRank)
+            .filter(other -> !other.vm().equals(vm) && ranks.rank(group, other.vm()) < ownRank)
             .count();
-    return precedingCount < count;
   }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/ColdStartRateLimiter.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ColdStartRateLimiter.java
@@ -13,32 +13,22 @@
   private static final double RATE_SHARE = 0.45;
 
   private static final double BURST_REQUESTS = 1;
-  private static final double NANOS_PER_SECOND = 1e9;
 
-  private final double tokensPerSecond;
-  private double tokens = 1;
-  private long refilledNanos;
+  private final TokenBucket bucket;
 
   ColdStartRateLimiter(long nowNanos, double declaredRequestsPerSecond) {
-    this.tokensPerSecond = RATE_SHARE * declaredRequestsPerSecond;
-    this.refilledNanos = nowNanos;
+    this.bucket =
+        new TokenBucket(
+            nowNanos, RATE_SHARE * declaredRequestsPerSecond, BURST_REQUESTS, BURST_REQUESTS);
   }
 
   /** Returns whether a request may be sent now. */
   boolean hasToken(long nowNanos) {
-    refill(nowNanos);
-    return tokens >= 1;
+    return bucket.hasToken(nowNanos);
   }
 
   /** Takes a token for a request that is sent. */
   void takeToken(long nowNanos) {
-    refill(nowNanos);
-    tokens -= 1;
-  }
-
-  private void refill(long nowNanos) {
-    double newTokens = (nowNanos - refilledNanos) * tokensPerSecond / NANOS_PER_SECOND;
-    tokens = Math.min(BURST_REQUESTS, tokens + newTokens);
-    refilledNanos = nowNanos;
+    bucket.takeToken(nowNanos);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
@@ -0,0 +1,222 @@
+package org.mustardstage.core.placement;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.member.MemberView;
+
+/**
+ * Keeps the requests to an endpoint that is in need within the rate that it has named, which is a
+ * sum over all VMs. {@link LimitShares} decides how much of it this VM may use.
+ *
+ * <p>Limits are learned from responses and from other VMs. A VM that may not send to an endpoint
+ * doesn't see its responses, so it learns from the others that the limit has changed or ended. In
+ * case that news is lost, or nobody sends to the endpoint, the VMs try one after another.
+ */
+public final class EndpointLimits {
+  private static final double BURST_REQUESTS = 2;
+
+  /** How often a limit that stays in force is reported to other VMs. */
+  private static final long REPORT_INTERVAL_NANOS = 5_000_000_000L;
+
+  /** How long a limit holds without news before VMs try whether it still does. */
+  private static final long TRIAL_AFTER_NANOS = 20_000_000_000L;
+
+  /** The part of a limit that the trials of all VMs together use. */
+  private static final double TRIAL_SHARE = 0.25;
+
+  /** The rate of trials while the limit is smaller or 0. */
+  private static final double MIN_TRIALS_PER_SECOND = 0.1;
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  /** How long a limit is remembered of which nothing is heard: a day. */
+  private static final long MEMORY_NANOS = 86_400_000_000_000L;
+
+  private final LimitShares shares;
+  private final Function<ZoneId, RegionId> regionOf;
+  private final Map<EndpointId, Limit> limits = new HashMap<>();
+
+  /** A limit in force. */
+  private static final class Limit {
+    private final long startTimeMillis;
+    private final TokenBucket bucket;
+    private double requestsPerSecond;
+    private long heardNanos;
+
+    /** From then on, the VMs try one after another whether the limit still holds. */
+    private long trialsFromNanos;
+
+    private long reportedNanos;
+
+    Limit(long nowNanos, long startTimeMillis) {
+      this.startTimeMillis = startTimeMillis;
+      this.bucket = new TokenBucket(nowNanos, 0, BURST_REQUESTS, /* initialTokens= */ 0);
+    }
+  }
+
+  /**
+   * What other VMs must hear.
+   *
+   * @param limit the limit
+   * @param toAllRegions whether the VMs of other regions must hear it too
+   */
+  public record Report(EndpointLimit limit, boolean toAllRegions) {}
+
+  /**
+   * Creates the limits of a VM that has just started.
+   *
+   * @param regionOf returns the region of a zone
+   */
+  public EndpointLimits(VmId self, Function<ZoneId, RegionId> regionOf, long nowNanos) {
+    this.shares = new LimitShares(self, nowNanos);
+    this.regionOf = regionOf;
+  }
+
+  /** Replaces the view of the VMs. */
+  public void setMembers(long nowNanos, MemberView view) {
+    shares.setMembers(nowNanos, view);
+  }
+
+  /** Returns whether this VM may send a request to {@code endpoint} now. */
+  public boolean allowsRequest(long nowNanos, RegisteredEndpoint endpoint) {
+    Limit limit = find(endpoint);
+    if (limit == null) {
+      return true;
+    }
+    double share = shareOf(nowNanos, endpoint);
+    limit.bucket.setRate(nowNanos, share * limit.requestsPerSecond);
+    return (share > 0 && limit.bucket.hasToken(nowNanos)) || isTrialDue(nowNanos, endpoint, limit);
+  }
+
+  /** Returns which part of the endpoint's limit this VM may use, 0 to 1. */
+  double shareOf(long nowNanos, RegisteredEndpoint endpoint) {
+    return shares.shareOf(nowNanos, endpoint.id(), regionOf.apply(endpoint.zone()));
+  }
+
+  private int rankOf(RegisteredEndpoint endpoint) {
+    return shares.rankOf(endpoint.id(), regionOf.apply(endpoint.zone()));
+  }
+
+  private boolean isTrialDue(long nowNanos, RegisteredEndpoint endpoint, Limit limit) {
+    long dueNanos = limit.trialsFromNanos + (long) (rankOf(endpoint) * trialIntervalNanos(limit));
+    return nowNanos - limit.trialsFromNanos >= 0 && nowNanos - dueNanos >= 0;
+  }
+
+  /** Returns the time between the trials of two VMs. */
+  private static double trialIntervalNanos(Limit limit) {
+    double trialsPerSecond = Math.max(MIN_TRIALS_PER_SECOND, TRIAL_SHARE * limit.requestsPerSecond);
+    return NANOS_PER_SECOND / trialsPerSecond;
+  }
+
+  private Limit find(RegisteredEndpoint endpoint) {
+    Limit limit = limits.get(endpoint.id());
+    return limit != null && limit.startTimeMillis == endpoint.startTimeMillis() ? limit : null;
+  }
+
+  /** Records that a request is sent to {@code endpoint}. */
+  public void recordSent(long nowNanos, RegisteredEndpoint endpoint) {
+    Limit limit = find(endpoint);
+    if (limit == null) {
+      return;
+    }
+    limit.bucket.takeToken(nowNanos);
+    if (nowNanos - limit.trialsFromNanos >= 0) {
+      int followingVms = shares.memberCount() - rankOf(endpoint);
+      limit.trialsFromNanos =
+          nowNanos + TRIAL_AFTER_NANOS + (long) (followingVms * trialIntervalNanos(limit));
+    }
+  }
+
+  /**
+   * Applies what an endpoint said in a response to a request that was sent at {@code sentNanos}.
+   *
+   * @return what other VMs must hear
+   */
+  public Optional<Report> recordResponse(
+      long nowNanos, long sentNanos, RegisteredEndpoint endpoint, LimitNotice notice) {
+    return switch (notice) {
+      case LimitNotice.Unknown unknown -> Optional.empty();
+      case LimitNotice.Limited limited -> recordLimit(nowNanos, endpoint, limited);
+      case LimitNotice.Unlimited unlimited -> recordEnd(sentNanos, endpoint);
+    };
+  }
+
+  private Optional<Report> recordLimit(
+      long nowNanos, RegisteredEndpoint endpoint, LimitNotice.Limited limited) {
+    EndpointLimit named =
+        new EndpointLimit(
+            endpoint.id(), endpoint.startTimeMillis(), Optional.of(limited.requestsPerSecond()));
+    boolean changed = put(nowNanos, named);
+    Limit limit = limits.get(endpoint.id());
+    if (!changed && nowNanos - limit.reportedNanos < REPORT_INTERVAL_NANOS) {
+      return Optional.empty();
+    }
+    limit.reportedNanos = nowNanos;
+    return Optional.of(new Report(named, /* toAllRegions= */ false));
+  }
+
+  /** Ends the limit, unless the request was sent before the limit was last heard of. */
+  private Optional<Report> recordEnd(long sentNanos, RegisteredEndpoint endpoint) {
+    Limit limit = find(endpoint);
+    if (limit == null || sentNanos - limit.heardNanos < 0) {
+      return Optional.empty();
+    }
+    remove(endpoint.id());
+    return Optional.of(
+        new Report(
+            new EndpointLimit(endpoint.id(), endpoint.startTimeMillis(), Optional.empty()),
+            /* toAllRegions= */ true));
+  }
+
+  private void remove(EndpointId endpoint) {
+    limits.remove(endpoint);
+    shares.forget(endpoint);
+  }
+
+  /** Stores a limit in force; returns whether it is new or has changed. */
+  private boolean put(long nowNanos, EndpointLimit named) {
+    limits.values().removeIf(limit -> nowNanos - limit.heardNanos > MEMORY_NANOS);
+    double requestsPerSecond = named.requestsPerSecond().orElseThrow();
+    Limit known = limits.get(named.id());
+    boolean isNew = known == null || known.startTimeMillis != named.startTimeMillis();
+    Limit limit = isNew ? new Limit(nowNanos, named.startTimeMillis()) : known;
+    boolean changed = isNew || limit.requestsPerSecond != requestsPerSecond;
+    limit.requestsPerSecond = requestsPerSecond;
+    limit.heardNanos = nowNanos;
+    limit.trialsFromNanos = nowNanos + TRIAL_AFTER_NANOS;
+    limits.put(named.id(), limit);
+    return changed;
+  }
+
+  /** Applies what another VM reports. */
+  public void applyReport(long nowNanos, EndpointLimit reported) {
+    if (reported.requestsPerSecond().isPresent()) {
+      put(nowNanos, reported);
+      return;
+    }
+    Limit known = limits.get(reported.id());
+    if (known != null && known.startTimeMillis == reported.startTimeMillis()) {
+      remove(reported.id());
+    }
+  }
+
+  /** Returns the limits in force. */
+  public ImmutableList<EndpointLimit> known() {
+    return limits.entrySet().stream()
+        .map(
+            entry ->
+                new EndpointLimit(
+                    entry.getKey(),
+                    entry.getValue().startTimeMillis,
+                    Optional.of(entry.getValue().requestsPerSecond)))
+        .collect(ImmutableList.toImmutableList());
+  }
+}
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -61,6 +61,7 @@
 
   private final RoundTripEstimates roundTrips;
   private final RegionShiftLimiter regionShiftLimiter;
+  private final EndpointLimits endpointLimits;
   private final ServiceTimeEstimates serviceTimes = new ServiceTimeEstimates();
   private final WarmProbability warmProbabilityByRegion = new WarmProbability();
   private final Map<EndpointId, EndpointState> endpoints = new HashMap<>();
@@ -78,16 +79,19 @@
    * Creates a scheduler without endpoints.
    *
    * @param regionShiftLimiter the limiter that all schedulers of a VM share
+   * @param endpointLimits the limits of endpoints, which all schedulers of a VM share
    */
   public ServiceScheduler(
       ServiceSpec spec,
       PlacementSettings settings,
       RoundTripEstimates roundTrips,
-      RegionShiftLimiter regionShiftLimiter) {
+      RegionShiftLimiter regionShiftLimiter,
+      EndpointLimits endpointLimits) {
     this.spec = spec;
     this.settings = settings;
     this.roundTrips = roundTrips;
     this.regionShiftLimiter = regionShiftLimiter;
+    this.endpointLimits = endpointLimits;
     this.rendezvousOrder = new RendezvousOrder(roundTrips);
   }
 
@@ -323,6 +327,7 @@
   private PlacementDecision place(long nowNanos, SchedulerRequest request, Candidate candidate) {
     EndpointState state = candidate.state();
     state.recordSent(nowNanos);
+    endpointLimits.recordSent(nowNanos, state.endpoint());
     regionShiftLimiter.recordPlacement(nowNanos, candidate.otherRegion());
     if (request.affinityKey().isPresent()) {
       state.warmKeys().recordRequest(nowNanos, request.affinityKey().get());
@@ -500,7 +505,8 @@
 
   private boolean isEligible(long nowNanos, SchedulerRequest request, EndpointState state) {
     if (request.excludedEndpoints().contains(state.endpoint().id())
-        || !state.acceptsRequests(nowNanos)) {
+        || !state.acceptsRequests(nowNanos)
+        || !endpointLimits.allowsRequest(nowNanos, state.endpoint())) {
       return false;
     }
     if (!request.rule().allowsRegion(regionOf(state))) {
--- a/core/src/test/java/org/mustardstage/core/placement/LoadSimulation.java
+++ b/core/src/test/java/org/mustardstage/core/placement/LoadSimulation.java
@@ -145,7 +145,8 @@
               new ServiceSpec(SERVICE, "/health", 700, 3_000, 17),
               PlacementSettings.forSchedulerCount(schedulerCount),
               new RoundTripEstimates(zone, regions.get(zone), regions),
-              PlacementFixtures.regionShiftLimiter(random.nextDouble()));
+              PlacementFixtures.regionShiftLimiter(random.nextDouble()),
+              PlacementFixtures.endpointLimits());
     }
   }
 
--- a/core/src/test/java/org/mustardstage/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/mustardstage/core/placement/PlacementFixtures.java
@@ -14,6 +14,7 @@
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.HostAndPort;
 
@@ -46,6 +47,10 @@
         new RegionShiftLimit(0.15, Duration.ofSeconds(2)), burstAllowance);
   }
 
+  static EndpointLimits endpointLimits() {
+    return new EndpointLimits(new VmId("vm-1"), zone -> roundTrips().regionOf(zone), 0);
+  }
+
   static ServiceSpec spec(double coldRequestsPerSecond) {
     return new ServiceSpec(SERVICE, "/health", 700, 3_000, coldRequestsPerSecond);
   }
--- a/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
@@ -37,7 +37,8 @@
           PlacementFixtures.spec(10),
           PlacementSettings.forSchedulerCount(1),
           PlacementFixtures.roundTrips(),
-          PlacementFixtures.regionShiftLimiter());
+          PlacementFixtures.regionShiftLimiter(),
+          PlacementFixtures.endpointLimits());
   private long nowNanos = NANOS_PER_SECOND;
   private long nextId = 1;
 
@@ -52,7 +53,8 @@
               PlacementFixtures.spec(coldPerSecond),
               PlacementSettings.forSchedulerCount(1),
               PlacementFixtures.roundTrips(),
-              PlacementFixtures.regionShiftLimiter());
+              PlacementFixtures.regionShiftLimiter(),
+              PlacementFixtures.endpointLimits());
       UsableEndpoint warm =
           PlacementFixtures.endpoints(PlacementFixtures.OWN_ZONE, 1, 9).getFirst();
       vm.setEndpoints(
@@ -295,7 +297,8 @@
             PlacementFixtures.spec(10),
             PlacementSettings.forSchedulerCount(2),
             PlacementFixtures.roundTrips(),
-            PlacementFixtures.regionShiftLimiter());
+            PlacementFixtures.regionShiftLimiter(),
+            PlacementFixtures.endpointLimits());
     ImmutableList<UsableEndpoint> cold =
         ImmutableList.of(
             new UsableEndpoint(
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -427,6 +427,7 @@
         case PeerMessage.RowsRequest request -> logUnexpectedRows(from);
         case PeerMessage.RowsUpdate update -> logUnexpectedRows(from);
         case PeerMessage.EndpointsLeaving leaving -> logUnexpectedRows(from);
+        case PeerMessage.EndpointLimits limits -> logUnexpectedRows(from);
       }
     }
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -24,7 +24,8 @@
 import org.mustardstage.core.member.Representatives;
 import org.mustardstage.core.overload.RetryBudget;
 import org.mustardstage.core.placement.AttemptResult;
-import org.mustardstage.core.placement.LimitNotice;
+import org.mustardstage.core.placement.EndpointLimit;
+import org.mustardstage.core.placement.EndpointLimits;
 import org.mustardstage.core.placement.PlacementDecision;
 import org.mustardstage.core.placement.PlacementSettings;
 import org.mustardstage.core.placement.RegionShiftLimiter;
@@ -33,8 +34,6 @@
 import org.mustardstage.core.placement.SchedulerRequest;
 import org.mustardstage.core.placement.ServiceScheduler;
 import org.mustardstage.core.placement.UsableEndpoint;
-import org.mustardstage.entry.log.Event;
-import org.mustardstage.entry.log.EventLog;
 
 /**
  * Places requests by the schedulers of all services on this VM. Used on the traffic thread only, so
@@ -57,9 +56,10 @@
   private final Map<ServiceName, ServiceScheduler> schedulers = new HashMap<>();
   private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
   private final Map<Long, Pending> pending = new HashMap<>();
-  private final Map<EndpointId, LimitNotice> loggedLimits = new HashMap<>();
+  private final EndpointLimits endpointLimits;
   private Optional<MemberView> members = Optional.empty();
   private Consumer<RegisteredEndpoint> leavingListener = endpoint -> {};
+  private Consumer<EndpointLimits.Report> limitListener = report -> {};
 
   /**
    * Caches, per endpoint, whether this VM is the one that sends to it while it is cold. Cleared
@@ -85,6 +85,8 @@
         new RoundTripEstimates(settings.zone(), settings.region(), settings.regions());
     this.regionShiftLimiter =
         new RegionShiftLimiter(settings.regionShiftLimit(), phaseOf(settings.vm()));
+    this.endpointLimits =
+        new EndpointLimits(settings.vm(), roundTrips::regionOf, clock.getAsLong());
   }
 
   /** Returns a number from 0 to 1, derived from the VM's id, that differs from VM to VM. */
@@ -98,6 +100,18 @@
     leavingListener = listener;
   }
 
+  /** Sets what is told of the limits that endpoints name in responses. */
+  void setLimitListener(Consumer<EndpointLimits.Report> listener) {
+    limitListener = listener;
+  }
+
+  /** Applies the limits that another VM has heard endpoints name. */
+  void applyLimits(List<EndpointLimit> limits) {
+    long nowNanos = clock.getAsLong();
+    limits.forEach(limit -> endpointLimits.applyReport(nowNanos, limit));
+    processQueues();
+  }
+
   /** Applies a version of the configuration: adds, updates and removes schedulers. */
   void setConfig(GatewayConfig config) {
     schedulers.keySet().retainAll(config.services().keySet());
@@ -108,7 +122,8 @@
               ServiceScheduler scheduler = schedulers.get(name);
               if (scheduler == null) {
                 scheduler =
-                    new ServiceScheduler(spec, placementSettings(), roundTrips, regionShiftLimiter);
+                    new ServiceScheduler(
+                        spec, placementSettings(), roundTrips, regionShiftLimiter, endpointLimits);
                 scheduler.setColdEndpointFilter(this::isResponsibleWhileCold);
                 schedulers.put(name, scheduler);
               }
@@ -135,6 +150,7 @@
       retryBudgets.clear();
     }
     members = Optional.of(view);
+    endpointLimits.setMembers(clock.getAsLong(), view);
     responsibleWhileCold.clear();
     schedulers.values().forEach(scheduler -> scheduler.setSettings(placementSettings()));
   }
@@ -231,7 +247,7 @@
   @Override
   public void release(ServiceName service, PlacementDecision.Placed placed, AttemptResult result) {
     ServiceScheduler scheduler = schedulers.get(service);
-    logLimit(placed.endpoint().id(), result.notice().limit());
+    recordLimit(placed.endpoint(), result);
     if (result.notice().leaving()) {
       leavingListener.accept(placed.endpoint());
     }
@@ -241,19 +257,12 @@
     }
   }
 
-  private void logLimit(EndpointId endpoint, LimitNotice limit) {
-    if (limit instanceof LimitNotice.Unknown) {
-      return;
-    }
-    LimitNotice before =
-        limit instanceof LimitNotice.Unlimited
-            ? loggedLimits.remove(endpoint)
-            : loggedLimits.put(endpoint, limit);
-    LimitNotice known = before == null ? LimitNotice.UNLIMITED : before;
-    if (!limit.equals(known)) {
-      EventLog.log(
-          Event.ENDPOINT_LIMIT_CHANGED, "endpoint", endpoint, "before", known, "now", limit);
-    }
+  private void recordLimit(RegisteredEndpoint endpoint, AttemptResult result) {
+    long nowNanos = clock.getAsLong();
+    Optional<EndpointLimits.Report> report =
+        endpointLimits.recordResponse(
+            nowNanos, nowNanos - result.elapsedNanos(), endpoint, result.notice().limit());
+    report.ifPresent(limitListener);
   }
 
   private void startTicking() {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -27,6 +27,8 @@
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.Membership;
 import org.mustardstage.core.member.MembershipSettings;
+import org.mustardstage.core.placement.EndpointLimit;
+import org.mustardstage.core.placement.EndpointLimits;
 import org.mustardstage.core.placement.LeavingEndpoint;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
@@ -75,6 +77,7 @@
   private final TableReplica operatorTable;
   private final TableReplica endpointTable;
   private final RowReplicator rowReplicator;
+  private final EndpointLimitExchange limitExchange;
   private final long createdNanos = System.nanoTime();
   private final StateListener stateListener;
   private final DeploymentState deployment;
@@ -93,6 +96,9 @@
   interface StateListener extends DeploymentState.Listener {
     /** Called when the view of the VMs has changed. */
     void onMembers(MemberView view);
+
+    /** Called when another VM has told which limits endpoints named, or ended. */
+    void onEndpointLimits(List<EndpointLimit> limits);
   }
 
   GatewayControl(
@@ -150,6 +156,13 @@
                 PlatformAdapter.Table.ENDPOINTS,
                 endpointTable),
             network::send);
+    this.limitExchange =
+        new EndpointLimitExchange(self.vm(), network::send, stateListener::onEndpointLimits);
+  }
+
+  /** Tells the other VMs which limit an endpoint named in a response, or that it named none. */
+  void onEndpointLimit(EndpointLimits.Report report) {
+    eventloop.execute(() -> limitExchange.tell(memberView.get(), report));
   }
 
   void start() throws IOException {
@@ -421,6 +434,7 @@
     public void onHello(Member from) {
       execute(membership.addPeer(clock.getAsLong(), from));
       sendLeavingEndpoints(from);
+      limitExchange.onHello(from);
     }
 
     /** Tells a VM that may have just started what no row of the store says. */
@@ -442,6 +456,7 @@
             rowReplicator.onRowsKnown(clock.getAsLong(), from, known);
         case PeerMessage.EndpointsLeaving endpoints ->
             deployment.markLeaving(endpoints.endpoints());
+        case PeerMessage.EndpointLimits limits -> limitExchange.onMessage(limits.limits());
         default ->
             EventLog.log(
                 Event.BAD_FRAME,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
@@ -29,6 +29,7 @@
     this.server = new GatewayServer(settings, adapter, new GatewayMetrics());
     this.control = new GatewayControl(settings, adapter, incarnationNumber, server);
     server.setLeavingListener(control::onEndpointLeaving);
+    server.setLimitListener(control::onEndpointLimit);
   }
 
   /**
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -22,6 +22,8 @@
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.MemberView;
+import org.mustardstage.core.placement.EndpointLimit;
+import org.mustardstage.core.placement.EndpointLimits;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
@@ -109,6 +111,14 @@
     dispatcher.setLeavingListener(listener);
   }
 
+  /**
+   * Sets what is told of the limits that endpoints name in responses. The listener runs on the
+   * traffic thread.
+   */
+  void setLimitListener(Consumer<EndpointLimits.Report> listener) {
+    dispatcher.setLimitListener(listener);
+  }
+
   private void addServers(GatewayStatus status) {
     addServer(settings.readinessAddress(), adapter.readinessServlet(eventloop, status));
     settings
@@ -138,6 +148,11 @@
     eventloop.execute(() -> dispatcher.setMembers(view));
   }
 
+  @Override
+  public void onEndpointLimits(List<EndpointLimit> limits) {
+    eventloop.execute(() -> dispatcher.applyLimits(limits));
+  }
+
   private void addServer(HostAndPort listen, AsyncServlet handler) {
     otherServers.add(
         HttpServer.builder(eventloop, handler).withListenAddress(address(listen)).build());
--- a/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
@@ -8,6 +8,7 @@
 import org.mustardstage.schema.generated.WireConfirmOwnership;
 import org.mustardstage.schema.generated.WireDigestSummary;
 import org.mustardstage.schema.generated.WireDigests;
+import org.mustardstage.schema.generated.WireEndpointLimits;
 import org.mustardstage.schema.generated.WireEndpointsLeaving;
 import org.mustardstage.schema.generated.WireHandover;
 import org.mustardstage.schema.generated.WireHandoverReceived;
@@ -55,7 +56,8 @@
   ROWS_WANTED(21, WireRowsWanted.class),
   ROWS_KNOWN(22, WireRowsKnown.class),
   ENDPOINTS_LEAVING(23, WireEndpointsLeaving.class),
-  SUPERSEDED(24, WireSuperseded.class);
+  SUPERSEDED(24, WireSuperseded.class),
+  ENDPOINT_LIMITS(25, WireEndpointLimits.class);
 
   private final int number;
   private final Class<?> payloadClass;
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -15,6 +15,7 @@
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.member.MemberMessage;
+import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.LeavingEndpoint;
 import org.mustardstage.schema.generated.WireConfigAnnounce;
 import org.mustardstage.schema.generated.WireConfigFetch;
@@ -23,6 +24,8 @@
 import org.mustardstage.schema.generated.WireConfirmOwnership;
 import org.mustardstage.schema.generated.WireDigestSummary;
 import org.mustardstage.schema.generated.WireDigests;
+import org.mustardstage.schema.generated.WireEndpointLimit;
+import org.mustardstage.schema.generated.WireEndpointLimits;
 import org.mustardstage.schema.generated.WireEndpointsLeaving;
 import org.mustardstage.schema.generated.WireHandover;
 import org.mustardstage.schema.generated.WireHandoverReceived;
@@ -97,6 +100,9 @@
       case PeerMessage.EndpointsLeaving leaving ->
           new WireEndpointsLeaving()
               .withEndpoints(leaving.endpoints().stream().map(PeerCodec::toWire).toList());
+      case PeerMessage.EndpointLimits limits ->
+          new WireEndpointLimits()
+              .withLimits(limits.limits().stream().map(PeerCodec::toWire).toList());
       case PeerMessage.RowsUpdate update ->
           new WireRowsKnown()
               .withTable(update.table())
@@ -122,6 +128,20 @@
     return new LeavingEndpoint(new EndpointId(endpoint.getId()), endpoint.getStartTimeMillis());
   }
 
+  private static WireEndpointLimit toWire(EndpointLimit limit) {
+    return new WireEndpointLimit()
+        .withId(limit.id().value())
+        .withStartTimeMillis(limit.startTimeMillis())
+        .withRequestsPerSecond(limit.requestsPerSecond().orElse(null));
+  }
+
+  private static EndpointLimit fromWire(WireEndpointLimit limit) {
+    return new EndpointLimit(
+        new EndpointId(limit.getId()),
+        limit.getStartTimeMillis(),
+        Optional.ofNullable(limit.getRequestsPerSecond()));
+  }
+
   private static WireKnownRow toWire(PeerMessage.VersionedRow row) {
     return new WireKnownRow()
         .withKey(row.key())
@@ -206,6 +226,8 @@
       case WireEndpointsLeaving w ->
           new PeerMessage.EndpointsLeaving(
               w.getEndpoints().stream().map(PeerCodec::fromWire).toList());
+      case WireEndpointLimits w ->
+          new PeerMessage.EndpointLimits(w.getLimits().stream().map(PeerCodec::fromWire).toList());
       case WireRowsKnown w ->
           new PeerMessage.RowsUpdate(
               w.getTable(),
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberMessage;
 import org.mustardstage.core.permit.PermitMessage;
+import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.LeavingEndpoint;
 
 /** A message between entry VMs. */
@@ -39,6 +40,14 @@
     }
   }
 
+  /** Tells which limits endpoints have named in a response, and which have ended. */
+  record EndpointLimits(List<EndpointLimit> limits) implements PeerMessage {
+    /** Copies the list. */
+    public EndpointLimits {
+      limits = ImmutableList.copyOf(limits);
+    }
+  }
+
   /** Tells which endpoints have said in a response that they are leaving. */
   record EndpointsLeaving(List<LeavingEndpoint> endpoints) implements PeerMessage {
     /** Copies the list. */
--- a/entry/src/test/java/org/mustardstage/entry/gateway/EndpointLimitTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/EndpointLimitTest.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.mustardstage.core.manifest.HostAndPort;
@@ -71,7 +70,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void vmsTogetherStayWithinTheLimitOfAnEndpoint() throws Exception {
     startCallers();
     Thread.sleep(1_000);
@@ -88,7 +86,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void vmThatStartsDoesNotAddToTheLimitOfAnEndpoint() throws Exception {
     startCallers();
     Thread.sleep(1_000);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -39,6 +39,7 @@
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberView;
+import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.RegionShiftLimit;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.platform.PlatformFailure;
@@ -157,6 +158,9 @@
     @Override
     public void onMembers(MemberView view) {}
 
+    @Override
+    public void onEndpointLimits(List<EndpointLimit> limits) {}
+
     ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> awaitEndpoints(int count)
         throws InterruptedException {
       while (true) {
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
@@ -26,6 +26,7 @@
 import org.mustardstage.core.member.MemberMessage;
 import org.mustardstage.core.permit.LimitId;
 import org.mustardstage.core.permit.PermitMessage;
+import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.LeavingEndpoint;
 
 /**
@@ -73,6 +74,10 @@
         new PeerMessage.Membership(new MemberMessage.Superseded(1_700_000_000_000L)),
         new PeerMessage.EndpointsLeaving(
             List.of(new LeavingEndpoint(new EndpointId("i-1"), 1_700_000_000_000L))),
+        new PeerMessage.EndpointLimits(
+            List.of(
+                new EndpointLimit(new EndpointId("i-1"), 1_700_000_000_000L, Optional.of(1.5)),
+                new EndpointLimit(new EndpointId("i-2"), 1_700_000_000_000L, Optional.empty()))),
         new PeerMessage.RowsRequest("ENDPOINTS", 2, 12),
         new PeerMessage.RowsUpdate(
             "ENDPOINTS",
