Ignore notices in a 421, which another endpoint sends

An endpoint that has taken over an address says in its 421 whether it is leaving or limited; both were applied to the endpoint that was expected there, and so was its load. Since a response without a limit ends it, such a 421 would have ended the limit of the expected endpoint.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -287,7 +287,12 @@
     if (notRun && echoesRequestId(response)) {
       boolean misdirected = response.status() == STATUS_MISDIRECTED;
       returnToPool(current);
-      current.finish(misdirected ? Status.MISDIRECTED : Status.REFUSED, report);
+      if (misdirected) {
+        // Another endpoint responded, whose load and notices say nothing about the expected one.
+        current.finish(Status.MISDIRECTED);
+      } else {
+        current.finish(Status.REFUSED, report);
+      }
       onRejectedByEndpoint();
       return;
     }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/EndpointNoticeTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/EndpointNoticeTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.EndpointId;
+import org.mustardstage.core.placement.EndpointLimits;
 import org.mustardstage.core.placement.UsableEndpoint;
 
 /**
@@ -77,6 +79,42 @@
     assertThat(get(IDEMPOTENT_PATH).body(), is("last"));
   }
 
+  /** Another endpoint has the address, and what it says of itself is taken for the first one's. */
+  @Test
+  void noticeOfAnotherEndpointAtTheAddressIsNotAppliedToTheExpectedOne() throws Exception {
+    List<EndpointId> reported = new CopyOnWriteArrayList<>();
+    server.setLeavingListener(endpoint -> reported.add(endpoint.id()));
+    publish(first);
+    first.setHandler(
+        (request, socket) ->
+            FakeEndpoint.respond(
+                request, socket, "421 Misdirected Request", "Server-Leaving: 1\r\n", ""));
+
+    assertThat(get(IDEMPOTENT_PATH).statusCode(), is(503));
+
+    assertThat(reported, empty());
+  }
+
+  @Test
+  void unreadableLimitIsIgnored() throws Exception {
+    List<EndpointLimits.Report> reported = new CopyOnWriteArrayList<>();
+    server.setLimitListener(reported::add);
+    publish(first);
+    for (String value : List.of("few", "-1", "NaN", "Infinity", "")) {
+      first.setHandler(
+          (request, socket) ->
+              FakeEndpoint.respond(
+                  request,
+                  socket,
+                  "200 OK",
+                  "X-Server-Seal: s\r\nServer-Limit: " + value + "\r\n",
+                  "done"));
+      assertThat(get(IDEMPOTENT_PATH).statusCode(), is(200));
+    }
+
+    assertThat(reported, empty());
+  }
+
   @Test
   void restingEndpointGetsNothingUntilTheEndOfItsTime() throws Exception {
     publish(first);
