A VM that has just started sends nothing to cold endpoints

The VM that sends to a cold endpoint is now the one that would use its limit, with the same waits after a start and a change.

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.EndpointId;
@@ -85,6 +86,19 @@
     shares.setMembers(nowNanos, view);
   }
 
+  /** Forgets the role of this VM for other endpoints than these; their limits are kept. */
+  public void retainEndpoints(Set<EndpointId> endpoints) {
+    shares.retainEndpoints(endpoints);
+  }
+
+  /**
+   * Returns whether this VM is the one that sends to {@code endpoint} while it takes only a few
+   * requests from all VMs together.
+   */
+  public boolean isOnlySender(long nowNanos, RegisteredEndpoint endpoint) {
+    return shareOf(nowNanos, endpoint) > 0;
+  }
+
   /** Returns whether this VM may send a request to {@code endpoint} now. */
   public boolean allowsRequest(long nowNanos, RegisteredEndpoint endpoint) {
     Limit limit = find(endpoint);
@@ -169,18 +183,13 @@
     if (limit == null || sentNanos - limit.heardNanos < 0) {
       return Optional.empty();
     }
-    remove(endpoint.id());
+    limits.remove(endpoint.id());
     return Optional.of(
         new Report(
             new EndpointLimit(endpoint.id(), endpoint.startTimeMillis(), Optional.empty()),
             /* toAllRegions= */ true));
   }
 
-  private void remove(EndpointId endpoint) {
-    limits.remove(endpoint);
-    shares.forget(endpoint);
-  }
-
   /** Stores a limit in force; returns whether it is new or has changed. */
   private boolean put(long nowNanos, EndpointLimit named) {
     limits.values().removeIf(limit -> nowNanos - limit.heardNanos > MEMORY_NANOS);
@@ -204,7 +213,7 @@
     }
     Limit known = limits.get(reported.id());
     if (known != null && known.startTimeMillis == reported.startTimeMillis()) {
-      remove(reported.id());
+      limits.remove(reported.id());
     }
   }
 
--- a/core/src/main/java/org/mustardstage/core/placement/LimitShares.java
+++ b/core/src/main/java/org/mustardstage/core/placement/LimitShares.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.RegionId;
@@ -137,10 +138,10 @@
         unchanged.map(RegionVms::changedNanos).orElse(nowNanos));
   }
 
-  /** Forgets what was kept for an endpoint whose limit has ended. */
-  void forget(EndpointId endpoint) {
-    roles.remove(endpoint);
-    ownRanks.remove(endpoint);
+  /** Forgets what is kept for other endpoints than these. */
+  void retainEndpoints(Set<EndpointId> endpoints) {
+    roles.keySet().retainAll(endpoints);
+    ownRanks.keySet().retainAll(endpoints);
   }
 
   /** Returns which part of the limit of an endpoint in {@code region} this VM may use, 0 to 1. */
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hashing;
 import io.activej.eventloop.Eventloop;
 import java.nio.charset.StandardCharsets;
@@ -13,7 +14,6 @@
 import java.util.function.LongSupplier;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
-import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.id.VmId;
@@ -21,7 +21,6 @@
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
-import org.mustardstage.core.member.Representatives;
 import org.mustardstage.core.overload.RetryBudget;
 import org.mustardstage.core.placement.AttemptResult;
 import org.mustardstage.core.placement.EndpointLimit;
@@ -61,12 +60,6 @@
   private Consumer<RegisteredEndpoint> leavingListener = endpoint -> {};
   private Consumer<EndpointLimits.Report> limitListener = report -> {};
 
-  /**
-   * Caches, per endpoint, whether this VM is the one that sends to it while it is cold. Cleared
-   * when the members or the endpoints change.
-   */
-  private final Map<EndpointId, Boolean> responsibleWhileCold = new HashMap<>();
-
   private long nextRequestId = 1;
 
   /** The largest number of VMs seen so far, among which the retry budget is divided. */
@@ -124,7 +117,8 @@
                 scheduler =
                     new ServiceScheduler(
                         spec, placementSettings(), roundTrips, regionShiftLimiter, endpointLimits);
-                scheduler.setColdEndpointFilter(this::isResponsibleWhileCold);
+                scheduler.setColdEndpointFilter(
+                    endpoint -> endpointLimits.isOnlySender(clock.getAsLong(), endpoint));
                 schedulers.put(name, scheduler);
               }
               scheduler.setSpec(spec);
@@ -135,7 +129,11 @@
   /** Replaces the endpoints that may receive new requests, by service. */
   void setEndpoints(ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> usable) {
     endpoints = usable;
-    responsibleWhileCold.clear();
+    endpointLimits.retainEndpoints(
+        usable.values().stream()
+            .flatMap(List::stream)
+            .map(each -> each.endpoint().id())
+            .collect(ImmutableSet.toImmutableSet()));
     long nowNanos = clock.getAsLong();
     schedulers.forEach(
         (name, scheduler) ->
@@ -151,7 +149,6 @@
     }
     members = Optional.of(view);
     endpointLimits.setMembers(clock.getAsLong(), view);
-    responsibleWhileCold.clear();
     schedulers.values().forEach(scheduler -> scheduler.setSettings(placementSettings()));
   }
 
@@ -171,19 +168,6 @@
             .toList());
   }
 
-  /** Returns whether this is the VM of the endpoint's region that sends to it while it is cold. */
-  private boolean isResponsibleWhileCold(RegisteredEndpoint endpoint) {
-    return responsibleWhileCold.computeIfAbsent(
-        endpoint.id(), id -> computeResponsibility(endpoint));
-  }
-
-  private boolean computeResponsibility(RegisteredEndpoint endpoint) {
-    ImmutableList<Member> servingMembers = servingMembersIn(roundTrips.regionOf(endpoint.zone()));
-    return Representatives.choose("cold/" + endpoint.id(), servingMembers)
-        .filter(member -> member.vm().equals(settings.vm()))
-        .isPresent();
-  }
-
   @Override
   public PendingPlacement place(PlacementRequest request, Consumer<PlacementDecision> onDecision) {
     long id = nextRequestId++;
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -47,12 +47,19 @@
   static final String LIMIT_HEADER = "Server-Limit";
 
   private final List<RegisteredEndpoint> endpoints;
+  private final boolean linked;
   private final List<GatewayProcess> vms = new ArrayList<>();
   private final List<HostAndPort> callerAddresses = new CopyOnWriteArrayList<>();
   private final List<HostAndPort> peerAddresses = new ArrayList<>();
 
   FakeDeployment(List<FakeEndpoint> endpoints) {
-    this.endpoints = endpoints.stream().map(FakeEndpoint::registration).toList();
+    this(endpoints.stream().map(FakeEndpoint::registration).toList(), /* linked= */ true);
+  }
+
+  /** Creates a deployment whose VMs don't learn of each other if they aren't {@code linked}. */
+  FakeDeployment(List<RegisteredEndpoint> endpoints, boolean linked) {
+    this.endpoints = endpoints;
+    this.linked = linked;
   }
 
   /** Starts one more VM, which knows the peer address of the first one. */
@@ -72,7 +79,7 @@
             peers,
             TestPorts.freeAddress(),
             TestPorts.freeAddress(),
-            peerAddresses.stream().limit(1).toList(),
+            peerAddresses.stream().limit(linked ? 1 : 0).toList(),
             /* answerLifetimeMillis= */ 100,
             /* stopWithinMillis= */ 1_000,
             0.2,
