Log lost attempts and the fingerprint of their request

The trace of REQUEST_ENDED now has LOST and LOST_AFTER_IDLE, and ATTEMPTS_LOST (MS0061) the fingerprint: a hash of path, caller and body. Nothing is decided by it yet.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.placement.RequestFingerprint;
 
 /**
  * A request of a caller, with its complete body.
@@ -16,6 +17,7 @@
  * @param pathAndQuery the request target as the caller wrote it
  * @param headers the headers that are forwarded to the endpoint
  * @param body the complete body; must not be modified
+ * @param caller the address from which the caller connected
  * @param arrivalNanos when the request arrived
  * @param deadlineNanos the earlier of the caller's deadline and the rule's timeout
  */
@@ -29,5 +31,11 @@
     String pathAndQuery,
     HeaderList headers,
     byte[] body,
+    String caller,
     long arrivalNanos,
-    long deadlineNanos) {}
+    long deadlineNanos) {
+  /** Returns what identifies the request when it comes again. */
+  RequestFingerprint fingerprint() {
+    return RequestFingerprint.of(pathAndQuery, caller, body);
+  }
+}
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -90,6 +90,7 @@
     ServiceName service = serviceSelector.select(head.get().rule());
     CallerConnection connection = CallerConnections.of(httpRequest);
     String pathAndQuery = httpRequest.getPathAndQuery();
+    String caller = httpRequest.getRemoteAddress().getHostAddress();
     var method = httpRequest.getMethod();
     long maxBytes =
         Math.min(MAX_BUFFERED_BODY_BYTES, activeConfig.get().callerLimits().maxBodyBytes());
@@ -112,6 +113,7 @@
                       pathAndQuery,
                       head.get().headers(),
                       body.bytes(),
+                      caller,
                       arrivalNanos,
                       head.get().deadlineNanos());
               return execute(request, connection, activeConfig.get())
@@ -148,6 +150,18 @@
       RequestOutcome outcome) {
     long nowNanos = System.nanoTime();
     metrics.recordOutcome(request.rule(), outcome, nowNanos - request.arrivalNanos());
+    if (execution.lostAttempts() > 0) {
+      EventLog.log(
+          Event.ATTEMPTS_LOST,
+          "request",
+          request.id(),
+          "fingerprint",
+          request.fingerprint(),
+          "caller",
+          request.caller(),
+          "lost",
+          execution.lostAttempts());
+    }
     EventLog.log(
         Event.REQUEST_ENDED,
         "request",
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -57,6 +57,7 @@
   private Optional<ScheduledRunnable> timeout = Optional.empty();
   private int sentAttempts;
   private int failedConnects;
+  private int lostAttempts;
   private boolean mayHaveRun;
 
   /** A server error from an endpoint, forwarded if no other endpoint responds with a success. */
@@ -120,6 +121,11 @@
     return trace;
   }
 
+  /** Returns how many attempts ended without a response because their connection was lost. */
+  int lostAttempts() {
+    return lostAttempts;
+  }
+
   private long remainingMillis() {
     return TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - System.nanoTime());
   }
@@ -266,12 +272,19 @@
       }
       case RESET_AFTER_IDLE -> {
         connections.recordIdleReset(current.placed.endpoint().address(), current.connection);
+        recordLost(current, "LOST_AFTER_IDLE");
         current.finish(Status.ABANDONED);
         triedEndpoints.remove(current.placed.endpoint().id());
         mayHaveRun = true;
         retryOrFail(RequestOutcome.Unknown.Cause.ANSWER_LOST);
       }
-      case CONNECTION_LOST, MALFORMED -> {
+      case CONNECTION_LOST -> {
+        recordLost(current, "LOST");
+        current.finish(Status.SPOILED);
+        mayHaveRun = true;
+        retryOrFail(RequestOutcome.Unknown.Cause.ANSWER_LOST);
+      }
+      case MALFORMED -> {
         current.finish(Status.SPOILED);
         mayHaveRun = true;
         retryOrFail(RequestOutcome.Unknown.Cause.ANSWER_LOST);
@@ -279,6 +292,11 @@
     }
   }
 
+  private void recordLost(Attempt current, String how) {
+    lostAttempts++;
+    trace.add(current.placed.endpoint().id() + ":" + how);
+  }
+
   private void onResponse(Attempt current, EndpointResponse response) {
     EndpointReport report = EndpointReport.read(response, headerNames);
     boolean notRun =
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -72,6 +72,8 @@
   ENDPOINT_LIMIT_CHANGED(55, Level.INFO),
   /** A request has its outcome. */
   REQUEST_ENDED(60, Level.INFO),
+  /** Attempts of a request ended because their connections were lost. */
+  ATTEMPTS_LOST(61, Level.INFO),
   /** The control thread caught an unexpected exception. */
   CONTROL_FAULT(90, Level.ERROR),
   /** The traffic thread caught an unexpected exception. */
