--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeEndpoint.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeEndpoint.java
@@ -58,6 +58,13 @@
     return (int) sockets.stream().filter(socket -> !socket.isClosed()).count();
   }
 
+  /** Closes all connections, as a process that ends does. New ones are accepted at once. */
+  void closeConnections() throws IOException {
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
   RegisteredEndpoint registration() {
     return registration(new ServiceName("orders"), 9);
   }
