Block a request that ends endpoint after endpoint, at all VMs

Cause: nobody knew the request again. Each VM took a reset for a fault of the endpoint and went on to the next one, and each repeat by the caller was new. The bound is a sum over VMs: 23 VMs that each stop after three are 69 ends.

A request is now known by a hash of path, caller and body. An attempt that is lost because its endpoint ended (no connection to it that was open before still is) is reported to two VMs chosen by that hash. After three ended endpoints without a response in between they tell all VMs, which reject the request at once, for 5 min at first, then longer; callers get 503 with the time. VMs that start are told when a link opens.

--- a/core/src/main/java/org/mustardstage/core/member/Representatives.java
+++ b/core/src/main/java/org/mustardstage/core/member/Representatives.java
@@ -1,5 +1,6 @@
 package org.mustardstage.core.member;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Optional;
@@ -48,6 +49,18 @@
     return rankOf(ranks, group, member.vm(), candidates) < count;
   }
 
+  /** Returns the {@code count} first of {@code candidates} by hash. */
+  public static ImmutableList<Member> first(
+      int count, String group, Collection<Member> candidates) {
+    MemberRanks ranks = new MemberRanks();
+    return candidates.stream()
+        .sorted(
+            Comparator.<Member>comparingLong(member -> ranks.rank(group, member.vm()))
+                .thenComparing(Member::vm))
+        .limit(count)
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Returns how many of {@code candidates} come before {@code vm} by hash. */
   public static int rankOf(
       MemberRanks ranks, String group, VmId vm, Collection<Member> candidates) {
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/placement/BlockedRequests.java
@@ -0,0 +1,71 @@
+package org.mustardstage.core.placement;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** The requests that are blocked, each for a time. */
+public final class BlockedRequests {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final Map<RequestFingerprint, Block> blocks = new HashMap<>();
+
+  private record Block(int timesBlocked, long untilNanos) {}
+
+  /**
+   * Blocks a request, unless it is blocked for as often already.
+   *
+   * @return whether it was not
+   */
+  public boolean add(long nowNanos, RequestBlock block) {
+    Block known = blocks.get(block.fingerprint());
+    if (known != null && known.timesBlocked() >= block.timesBlocked()) {
+      return false;
+    }
+    blocks.put(
+        block.fingerprint(),
+        new Block(block.timesBlocked(), nowNanos + block.remainingMillis() * NANOS_PER_MILLI));
+    return true;
+  }
+
+  /** Returns whether no request was ever blocked, so that none needs a fingerprint. */
+  public boolean isEmpty() {
+    return blocks.isEmpty();
+  }
+
+  /** Returns how much longer a request is blocked, in milliseconds; empty if it is not. */
+  public OptionalLong remainingMillis(long nowNanos, RequestFingerprint fingerprint) {
+    Block block = blocks.get(fingerprint);
+    return block == null || nowNanos - block.untilNanos() >= 0
+        ? OptionalLong.empty()
+        : OptionalLong.of(remainingMillis(nowNanos, block));
+  }
+
+  private static long remainingMillis(long nowNanos, Block block) {
+    return Math.max(0, (block.untilNanos() - nowNanos) / NANOS_PER_MILLI);
+  }
+
+  /** Returns how often a request was blocked. */
+  int timesBlocked(RequestFingerprint fingerprint) {
+    return Optional.ofNullable(blocks.get(fingerprint)).map(Block::timesBlocked).orElse(0);
+  }
+
+  /** Forgets the requests whose block ended longer than {@code memoryNanos} ago. */
+  void removeOlderThan(long nowNanos, long memoryNanos) {
+    blocks.values().removeIf(block -> nowNanos - block.untilNanos() > memoryNanos);
+  }
+
+  /** Returns all blocks, also those that have ended but count if the request comes again. */
+  public ImmutableList<RequestBlock> list(long nowNanos) {
+    return blocks.entrySet().stream()
+        .map(
+            entry ->
+                new RequestBlock(
+                    entry.getKey(),
+                    entry.getValue().timesBlocked(),
+                    remainingMillis(nowNanos, entry.getValue())))
+        .collect(ImmutableList.toImmutableList());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/placement/CrashingRequests.java
@@ -0,0 +1,98 @@
+package org.mustardstage.core.placement;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.mustardstage.core.id.EndpointId;
+
+/**
+ * Recognizes a request that ends each endpoint that runs it, from the attempts that all VMs have
+ * lost, and blocks it.
+ *
+ * <p>When an endpoint ends, every request that it ran or queued is lost, and nothing tells which
+ * one ended it. A request is therefore blocked only when it was lost at three endpoints without a
+ * response in between. A block ends after a time, in case it hit the wrong request; if the request
+ * is then lost once more, it is blocked at once and for longer.
+ */
+public final class CrashingRequests {
+  private static final int CRASHES_UNTIL_BLOCKED = 3;
+
+  /** How long a lost attempt counts. */
+  private static final long SUSPICION_NANOS = 60_000_000_000L;
+
+  private static final long FIRST_BLOCK_MILLIS = 300_000L;
+  private static final long MAX_BLOCK_MILLIS = 86_400_000L;
+
+  /** How long it counts, after a block has ended, that the request was blocked. */
+  private static final long BLOCK_MEMORY_NANOS = 86_400_000_000_000L;
+
+  /** Bounds the memory; the requests that were suspected first are forgotten first. */
+  private static final int MAX_SUSPECTS = 10_000;
+
+  private final Map<RequestFingerprint, Suspect> suspects = new LinkedHashMap<>();
+  private final BlockedRequests blocked = new BlockedRequests();
+
+  private record Incarnation(EndpointId endpoint, long startTimeMillis) {}
+
+  private static final class Suspect {
+    private final Set<Incarnation> ended = new HashSet<>();
+    private long lastLostNanos;
+  }
+
+  /**
+   * Records a lost attempt.
+   *
+   * @return the block that other VMs must hear of, if the request is blocked from now on
+   */
+  public Optional<RequestBlock> recordLost(long nowNanos, LostAttempt lost) {
+    RequestFingerprint fingerprint = lost.fingerprint();
+    if (blocked.remainingMillis(nowNanos, fingerprint).isPresent()) {
+      return Optional.empty();
+    }
+    suspects.values().removeIf(each -> nowNanos - each.lastLostNanos > SUSPICION_NANOS);
+    Suspect suspect = suspects.computeIfAbsent(fingerprint, key -> new Suspect());
+    suspect.lastLostNanos = nowNanos;
+    suspect.ended.add(new Incarnation(lost.endpoint(), lost.startTimeMillis()));
+    int timesBlocked = blocked.timesBlocked(fingerprint);
+    if (timesBlocked == 0 && suspect.ended.size() < CRASHES_UNTIL_BLOCKED) {
+      forgetEldestSuspects();
+      return Optional.empty();
+    }
+    RequestBlock block = new RequestBlock(fingerprint, timesBlocked + 1, blockMillis(timesBlocked));
+    return applyBlock(nowNanos, block) ? Optional.of(block) : Optional.empty();
+  }
+
+  private static long blockMillis(int timesBlockedBefore) {
+    long millis = FIRST_BLOCK_MILLIS;
+    for (int i = 0; i < timesBlockedBefore && millis < MAX_BLOCK_MILLIS; i++) {
+      millis *= 2;
+    }
+    return Math.min(MAX_BLOCK_MILLIS, millis);
+  }
+
+  private void forgetEldestSuspects() {
+    while (suspects.size() > MAX_SUSPECTS) {
+      suspects.remove(suspects.keySet().iterator().next());
+    }
+  }
+
+  /** Records that an endpoint has run the request and responded. */
+  public void recordSurvived(RequestFingerprint fingerprint) {
+    suspects.remove(fingerprint);
+  }
+
+  /** Blocks a request; returns whether that is news. */
+  public boolean applyBlock(long nowNanos, RequestBlock block) {
+    blocked.removeOlderThan(nowNanos, BLOCK_MEMORY_NANOS);
+    suspects.remove(block.fingerprint());
+    return blocked.add(nowNanos, block);
+  }
+
+  /** Returns what a VM that has just started must hear. */
+  public ImmutableList<RequestBlock> blocks(long nowNanos) {
+    return blocked.list(nowNanos);
+  }
+}
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -428,6 +428,9 @@
         case PeerMessage.RowsUpdate update -> logUnexpectedRows(from);
         case PeerMessage.EndpointsLeaving leaving -> logUnexpectedRows(from);
         case PeerMessage.EndpointLimits limits -> logUnexpectedRows(from);
+        case PeerMessage.AttemptLost lost -> logUnexpectedRows(from);
+        case PeerMessage.RequestSurvived survived -> logUnexpectedRows(from);
+        case PeerMessage.RequestBlocks blocks -> logUnexpectedRows(from);
       }
     }
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
@@ -38,6 +38,7 @@
   private boolean mustClose;
   private long lastResponseNanos = System.nanoTime();
   private OptionalLong connectNanos = OptionalLong.empty();
+  private OptionalLong openedNanos = OptionalLong.empty();
   private long keepAliveMillis = Long.MAX_VALUE;
   private long idleNanos;
 
@@ -95,7 +96,8 @@
       connected.close();
       return;
     }
-    connectNanos = OptionalLong.of(System.nanoTime() - startedNanos);
+    openedNanos = OptionalLong.of(System.nanoTime());
+    connectNanos = OptionalLong.of(openedNanos.getAsLong() - startedNanos);
     socket = Optional.of(connected);
     read();
     write(first, withoutBody, request);
@@ -269,6 +271,11 @@
     return !closed && exchange.isEmpty();
   }
 
+  /** Returns whether the connection was opened before {@code nanos} and is still open. */
+  boolean isOpenSince(long nanos) {
+    return !closed && openedNanos.isPresent() && openedNanos.getAsLong() - nanos < 0;
+  }
+
   /** Returns when the last response arrived, or this object was created if there was none. */
   long lastResponseNanos() {
     return lastResponseNanos;
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
@@ -120,6 +120,15 @@
     return pool == null ? Long.MIN_VALUE / 2 : pool.lastResponseNanos;
   }
 
+  /**
+   * Returns whether a connection to {@code address} that was open at {@code nanos} still is, so the
+   * process there has not ended since.
+   */
+  boolean hasConnectionSince(HostAndPort address, long nanos) {
+    AddressPool pool = pools.get(address);
+    return pool != null && pool.open.stream().anyMatch(each -> each.isOpenSince(nanos));
+  }
+
   /** Returns a connection to the pool after a response; closes it if it can't be reused. */
   void release(HostAndPort address, EndpointConnection connection) {
     AddressPool pool = pools.get(address);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -30,6 +30,9 @@
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.EndpointLimits;
 import org.mustardstage.core.placement.LeavingEndpoint;
+import org.mustardstage.core.placement.LostAttempt;
+import org.mustardstage.core.placement.RequestBlock;
+import org.mustardstage.core.placement.RequestFingerprint;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
 import org.mustardstage.entry.log.Event;
@@ -44,7 +47,7 @@
  * configuration and evacuations, the endpoints, and the membership. Publishes changes to a {@link
  * StateListener}. Runs on the control thread.
  */
-final class GatewayControl implements GatewayStatus {
+final class GatewayControl implements GatewayStatus, CrashGuard.Listener {
   private static final long TICK_MILLIS = 100;
   private static final long LINK_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   private static final long VM_LIST_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -78,6 +81,7 @@
   private final TableReplica endpointTable;
   private final RowReplicator rowReplicator;
   private final EndpointLimitExchange limitExchange;
+  private final CrashExchange crashExchange;
   private final long createdNanos = System.nanoTime();
   private final StateListener stateListener;
   private final DeploymentState deployment;
@@ -99,6 +103,9 @@
 
     /** Called when another VM has told which limits endpoints named, or ended. */
     void onEndpointLimits(List<EndpointLimit> limits);
+
+    /** Called when requests are blocked, as they have ended several endpoints. */
+    void onRequestBlocks(List<RequestBlock> blocks);
   }
 
   GatewayControl(
@@ -158,6 +165,8 @@
             network::send);
     this.limitExchange =
         new EndpointLimitExchange(self.vm(), network::send, stateListener::onEndpointLimits);
+    this.crashExchange =
+        new CrashExchange(self.vm(), clock, network::send, stateListener::onRequestBlocks);
   }
 
   /** Tells the other VMs which limit an endpoint named in a response, or that it named none. */
@@ -165,6 +174,16 @@
     eventloop.execute(() -> limitExchange.tell(memberView.get(), report));
   }
 
+  @Override
+  public void onLost(LostAttempt lost) {
+    eventloop.execute(() -> crashExchange.onLost(memberView.get(), lost));
+  }
+
+  @Override
+  public void onSurvived(RequestFingerprint fingerprint) {
+    eventloop.execute(() -> crashExchange.onSurvived(memberView.get(), fingerprint));
+  }
+
   void start() throws IOException {
     eventloop.keepAlive(true);
     new Thread(eventloop, "control").start();
@@ -435,6 +454,7 @@
       execute(membership.addPeer(clock.getAsLong(), from));
       sendLeavingEndpoints(from);
       limitExchange.onHello(from);
+      crashExchange.onHello(from);
     }
 
     /** Tells a VM that may have just started what no row of the store says. */
@@ -457,6 +477,11 @@
         case PeerMessage.EndpointsLeaving endpoints ->
             deployment.markLeaving(endpoints.endpoints());
         case PeerMessage.EndpointLimits limits -> limitExchange.onMessage(limits.limits());
+        case PeerMessage.AttemptLost lost ->
+            crashExchange.onAttemptLost(memberView.get(), lost.attempt());
+        case PeerMessage.RequestSurvived survived ->
+            crashExchange.onRequestSurvived(survived.fingerprint());
+        case PeerMessage.RequestBlocks blocks -> crashExchange.onBlocks(blocks.blocks());
         default ->
             EventLog.log(
                 Event.BAD_FRAME,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
@@ -30,6 +30,7 @@
     this.control = new GatewayControl(settings, adapter, incarnationNumber, server);
     server.setLeavingListener(control::onEndpointLeaving);
     server.setLimitListener(control::onEndpointLimit);
+    server.setCrashListener(control);
   }
 
   /**
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -24,6 +24,7 @@
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.EndpointLimits;
+import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
@@ -54,6 +55,7 @@
   private final CallerConnections callerConnections;
   private final EndpointConnectionPool endpointConnections;
   private final GatewayServlet servlet;
+  private final CrashGuard crashGuard = new CrashGuard();
   private final HttpServer callerServer;
   private final List<HttpServer> otherServers = new ArrayList<>();
   private Optional<GatewayConfig> config = Optional.empty();
@@ -91,6 +93,7 @@
             endpointConnections,
             headerNames,
             () -> rejectsNewRequests,
+            crashGuard,
             new RequestBodyReader((long) (REQUEST_BODIES_HEAP_SHARE * heapBytes)),
             metrics);
     this.callerServer =
@@ -119,6 +122,11 @@
     dispatcher.setLimitListener(listener);
   }
 
+  /** Sets what is told of the attempts that are lost. The listener runs on the traffic thread. */
+  void setCrashListener(CrashGuard.Listener listener) {
+    crashGuard.setListener(listener);
+  }
+
   private void addServers(GatewayStatus status) {
     addServer(settings.readinessAddress(), adapter.readinessServlet(eventloop, status));
     settings
@@ -153,6 +161,11 @@
     eventloop.execute(() -> dispatcher.applyLimits(limits));
   }
 
+  @Override
+  public void onRequestBlocks(List<RequestBlock> blocks) {
+    eventloop.execute(() -> crashGuard.block(blocks));
+  }
+
   private void addServer(HostAndPort listen, AsyncServlet handler) {
     otherServers.add(
         HttpServer.builder(eventloop, handler).withListenAddress(address(listen)).build());
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -40,6 +40,7 @@
   private final EndpointConnectionPool connections;
   private final HeaderNames headerNames;
   private final BooleanSupplier rejectsNewRequests;
+  private final CrashGuard crashGuard;
   private final RequestReader reader;
   private final RequestBodyReader bodyReader;
   private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
@@ -53,6 +54,7 @@
       EndpointConnectionPool connectionPool,
       HeaderNames headerNames,
       BooleanSupplier rejectsNewRequests,
+      CrashGuard crashGuard,
       RequestBodyReader bodyReader,
       GatewayMetrics metrics) {
     this.reactor = reactor;
@@ -61,6 +63,7 @@
     this.connections = connectionPool;
     this.headerNames = headerNames;
     this.rejectsNewRequests = rejectsNewRequests;
+    this.crashGuard = crashGuard;
     this.metrics = metrics;
     this.bodyReader = bodyReader;
     this.reader = new RequestReader(headerNames);
@@ -132,7 +135,7 @@
   private Promise<HttpResponse> execute(
       CallerRequest request, CallerConnection connection, GatewayConfig activeConfig) {
     RequestExecution execution =
-        new RequestExecution(reactor, placer, connections, headerNames, request);
+        new RequestExecution(reactor, placer, connections, crashGuard, headerNames, request);
     connection.setDisconnectHandler(execution::onCallerDisconnected);
     return execution
         .start()
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -12,12 +12,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.placement.AttemptResult;
 import org.mustardstage.core.placement.AttemptResult.Status;
+import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.PlacementDecision;
 
 /**
@@ -39,6 +41,12 @@
 
   private static final long MIN_HEDGE_DELAY_MILLIS = 500;
 
+  /** By then, all connections to a process that has ended are closed. */
+  private static final long END_DETECTION_MILLIS = 400;
+
+  /** Why a request is rejected that has ended several endpoints; sent to callers and logged. */
+  private static final String CRASHES_ENDPOINTS = "CRASHES_ENDPOINTS";
+
   private static final int MAX_CONNECTIONS_PER_ENDPOINT = 64;
   private static final int MAX_FAILED_CONNECTS = 4;
   private static final int STATUS_MISDIRECTED = 421;
@@ -47,6 +55,7 @@
   private final NioReactor reactor;
   private final Placer placer;
   private final EndpointConnectionPool connections;
+  private final CrashGuard crashGuard;
   private final HeaderNames headerNames;
   private final CallerRequest request;
   private final SettablePromise<RequestOutcome> outcome = new SettablePromise<>();
@@ -58,6 +67,7 @@
   private int sentAttempts;
   private int failedConnects;
   private int lostAttempts;
+  private boolean survived;
   private boolean mayHaveRun;
 
   /** A server error from an endpoint, forwarded if no other endpoint responds with a success. */
@@ -99,11 +109,13 @@
       NioReactor reactor,
       Placer placer,
       EndpointConnectionPool connectionPool,
+      CrashGuard crashGuard,
       HeaderNames headerNames,
       CallerRequest request) {
     this.reactor = reactor;
     this.placer = placer;
     this.connections = connectionPool;
+    this.crashGuard = crashGuard;
     this.headerNames = headerNames;
     this.request = request;
   }
@@ -131,6 +143,9 @@
   }
 
   private void requestPlacement() {
+    if (rejectBlocked()) {
+      return;
+    }
     long objectiveDeadlineNanos =
         request.arrivalNanos()
             + TimeUnit.MILLISECONDS.toNanos(request.rule().latencyObjectiveMillis());
@@ -155,11 +170,27 @@
     }
   }
 
+  /** Ends the request if it is blocked, as it has ended several endpoints. */
+  private boolean rejectBlocked() {
+    OptionalLong blockedMillis = crashGuard.blockedMillis(request);
+    if (blockedMillis.isEmpty()) {
+      return false;
+    }
+    trace.add(CRASHES_ENDPOINTS);
+    if (attemptsInFlight.isEmpty()) {
+      finish(
+          mayHaveRun
+              ? new RequestOutcome.Unknown(RequestOutcome.Unknown.Cause.ENDPOINT_FAILED)
+              : new RequestOutcome.NotRun(CRASHES_ENDPOINTS, blockedMillis.getAsLong()));
+    }
+    return true;
+  }
+
   private void onDecision(PlacementDecision decision) {
     pendingPlacement = Optional.empty();
     switch (decision) {
       case PlacementDecision.Placed placed -> {
-        if (outcome.isComplete()) {
+        if (outcome.isComplete() || rejectBlocked()) {
           placer.release(request.service(), placed, AttemptResult.abandoned());
           return;
         }
@@ -294,7 +325,17 @@
 
   private void recordLost(Attempt current, String how) {
     lostAttempts++;
-    trace.add(current.placed.endpoint().id() + ":" + how);
+    RegisteredEndpoint endpoint = current.placed.endpoint();
+    trace.add(endpoint.id() + ":" + how);
+    long lostNanos = System.nanoTime();
+    reactor.delayBackground(
+        END_DETECTION_MILLIS,
+        () -> {
+          if (!survived && !connections.hasConnectionSince(endpoint.address(), lostNanos)) {
+            crashGuard.reportLost(
+                new LostAttempt(request.fingerprint(), endpoint.id(), endpoint.startTimeMillis()));
+          }
+        });
   }
 
   private void onResponse(Attempt current, EndpointResponse response) {
@@ -322,6 +363,10 @@
       return;
     }
     returnToPool(current);
+    if (lostAttempts > 0) {
+      survived = true;
+      crashGuard.reportSurvived(request.fingerprint());
+    }
     boolean failed = response.status() >= MIN_SERVER_ERROR_STATUS;
     current.finish(failed ? Status.FAILED : Status.ANSWERED, report);
     if (failed && !attemptsInFlight.isEmpty()) {
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -74,6 +74,8 @@
   REQUEST_ENDED(60, Level.INFO),
   /** Attempts of a request ended because their connections were lost. */
   ATTEMPTS_LOST(61, Level.INFO),
+  /** A request is blocked, as it has ended several endpoints. */
+  REQUEST_BLOCKED(62, Level.WARN),
   /** The control thread caught an unexpected exception. */
   CONTROL_FAULT(90, Level.ERROR),
   /** The traffic thread caught an unexpected exception. */
--- a/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.Optional;
+import org.mustardstage.schema.generated.WireAttemptLost;
 import org.mustardstage.schema.generated.WireConfigAnnounce;
 import org.mustardstage.schema.generated.WireConfigFetch;
 import org.mustardstage.schema.generated.WireConfigObjects;
@@ -23,6 +24,8 @@
 import org.mustardstage.schema.generated.WireOwnershipAdvertised;
 import org.mustardstage.schema.generated.WireOwnershipConfirmed;
 import org.mustardstage.schema.generated.WirePermitsWanted;
+import org.mustardstage.schema.generated.WireRequestBlocks;
+import org.mustardstage.schema.generated.WireRequestSurvived;
 import org.mustardstage.schema.generated.WireRowsKnown;
 import org.mustardstage.schema.generated.WireRowsWanted;
 import org.mustardstage.schema.generated.WireStopAnnounced;
@@ -57,7 +60,10 @@
   ROWS_KNOWN(22, WireRowsKnown.class),
   ENDPOINTS_LEAVING(23, WireEndpointsLeaving.class),
   SUPERSEDED(24, WireSuperseded.class),
-  ENDPOINT_LIMITS(25, WireEndpointLimits.class);
+  ENDPOINT_LIMITS(25, WireEndpointLimits.class),
+  ATTEMPT_LOST(26, WireAttemptLost.class),
+  REQUEST_SURVIVED(27, WireRequestSurvived.class),
+  REQUEST_BLOCKS(28, WireRequestBlocks.class);
 
   private final int number;
   private final Class<?> payloadClass;
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -17,6 +17,10 @@
 import org.mustardstage.core.member.MemberMessage;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.LeavingEndpoint;
+import org.mustardstage.core.placement.LostAttempt;
+import org.mustardstage.core.placement.RequestBlock;
+import org.mustardstage.core.placement.RequestFingerprint;
+import org.mustardstage.schema.generated.WireAttemptLost;
 import org.mustardstage.schema.generated.WireConfigAnnounce;
 import org.mustardstage.schema.generated.WireConfigFetch;
 import org.mustardstage.schema.generated.WireConfigObject;
@@ -42,6 +46,9 @@
 import org.mustardstage.schema.generated.WireOwnershipAdvertised;
 import org.mustardstage.schema.generated.WireOwnershipConfirmed;
 import org.mustardstage.schema.generated.WirePermitsWanted;
+import org.mustardstage.schema.generated.WireRequestBlock;
+import org.mustardstage.schema.generated.WireRequestBlocks;
+import org.mustardstage.schema.generated.WireRequestSurvived;
 import org.mustardstage.schema.generated.WireRowsKnown;
 import org.mustardstage.schema.generated.WireRowsWanted;
 import org.mustardstage.schema.generated.WireStopAnnounced;
@@ -103,6 +110,16 @@
       case PeerMessage.EndpointLimits limits ->
           new WireEndpointLimits()
               .withLimits(limits.limits().stream().map(PeerCodec::toWire).toList());
+      case PeerMessage.AttemptLost lost ->
+          new WireAttemptLost()
+              .withFingerprint(lost.attempt().fingerprint().value())
+              .withEndpoint(lost.attempt().endpoint().value())
+              .withStartTimeMillis(lost.attempt().startTimeMillis());
+      case PeerMessage.RequestSurvived survived ->
+          new WireRequestSurvived().withFingerprint(survived.fingerprint().value());
+      case PeerMessage.RequestBlocks blocks ->
+          new WireRequestBlocks()
+              .withBlocks(blocks.blocks().stream().map(PeerCodec::toWire).toList());
       case PeerMessage.RowsUpdate update ->
           new WireRowsKnown()
               .withTable(update.table())
@@ -142,6 +159,20 @@
         Optional.ofNullable(limit.getRequestsPerSecond()));
   }
 
+  private static WireRequestBlock toWire(RequestBlock block) {
+    return new WireRequestBlock()
+        .withFingerprint(block.fingerprint().value())
+        .withTimesBlocked((long) block.timesBlocked())
+        .withRemainingMillis(block.remainingMillis());
+  }
+
+  private static RequestBlock fromWire(WireRequestBlock block) {
+    return new RequestBlock(
+        new RequestFingerprint(block.getFingerprint()),
+        Math.toIntExact(block.getTimesBlocked()),
+        block.getRemainingMillis());
+  }
+
   private static WireKnownRow toWire(PeerMessage.VersionedRow row) {
     return new WireKnownRow()
         .withKey(row.key())
@@ -228,6 +259,16 @@
               w.getEndpoints().stream().map(PeerCodec::fromWire).toList());
       case WireEndpointLimits w ->
           new PeerMessage.EndpointLimits(w.getLimits().stream().map(PeerCodec::fromWire).toList());
+      case WireAttemptLost w ->
+          new PeerMessage.AttemptLost(
+              new LostAttempt(
+                  new RequestFingerprint(w.getFingerprint()),
+                  new EndpointId(w.getEndpoint()),
+                  w.getStartTimeMillis()));
+      case WireRequestSurvived w ->
+          new PeerMessage.RequestSurvived(new RequestFingerprint(w.getFingerprint()));
+      case WireRequestBlocks w ->
+          new PeerMessage.RequestBlocks(w.getBlocks().stream().map(PeerCodec::fromWire).toList());
       case WireRowsKnown w ->
           new PeerMessage.RowsUpdate(
               w.getTable(),
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
@@ -9,6 +9,9 @@
 import org.mustardstage.core.permit.PermitMessage;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.LeavingEndpoint;
+import org.mustardstage.core.placement.LostAttempt;
+import org.mustardstage.core.placement.RequestBlock;
+import org.mustardstage.core.placement.RequestFingerprint;
 
 /** A message between entry VMs. */
 public sealed interface PeerMessage {
@@ -48,6 +51,20 @@
     }
   }
 
+  /** Tells that an attempt of a request was lost because its endpoint has ended. */
+  record AttemptLost(LostAttempt attempt) implements PeerMessage {}
+
+  /** Tells that an endpoint has responded to a request of which an attempt was lost before. */
+  record RequestSurvived(RequestFingerprint fingerprint) implements PeerMessage {}
+
+  /** Tells which requests no VM sends to an endpoint, as they have ended several. */
+  record RequestBlocks(List<RequestBlock> blocks) implements PeerMessage {
+    /** Copies the list. */
+    public RequestBlocks {
+      blocks = ImmutableList.copyOf(blocks);
+    }
+  }
+
   /** Tells which endpoints have said in a response that they are leaving. */
   record EndpointsLeaving(List<LeavingEndpoint> endpoints) implements PeerMessage {
     /** Copies the list. */
--- a/entry/src/test/java/org/mustardstage/entry/gateway/CrashingRequestTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/CrashingRequestTest.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.mustardstage.core.manifest.HostAndPort;
@@ -82,7 +81,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void requestThatCrashedThreeEndpointsIsRetriedAtMostThreeTimesByAllVms() throws Exception {
     startCallers(CRASHING_PATH, 100);
     Thread.sleep(10_000);
@@ -91,7 +89,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void vmThatStartsDoesNotRetryARequestThatCrashedThreeEndpoints() throws Exception {
     startCallers(CRASHING_PATH, 100);
     Thread.sleep(5_000);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -41,6 +41,7 @@
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.RegionShiftLimit;
+import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.platform.PlatformFailure;
 import org.mustardstage.entry.platform.VmList;
@@ -161,6 +162,9 @@
     @Override
     public void onEndpointLimits(List<EndpointLimit> limits) {}
 
+    @Override
+    public void onRequestBlocks(List<RequestBlock> blocks) {}
+
     ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> awaitEndpoints(int count)
         throws InterruptedException {
       while (true) {
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
@@ -28,12 +28,18 @@
 import org.mustardstage.core.permit.PermitMessage;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.LeavingEndpoint;
+import org.mustardstage.core.placement.LostAttempt;
+import org.mustardstage.core.placement.RequestBlock;
+import org.mustardstage.core.placement.RequestFingerprint;
 
 /**
  * Checks that every message survives encoding and decoding, and that truncated, corrupted and
  * random frames from the network are rejected without an exception.
  */
 class PeerCodecTest {
+  private static final RequestFingerprint FINGERPRINT =
+      RequestFingerprint.of("/a", "10.0.0.1", new byte[0]);
+
   private static final long CORRELATION_ID = Long.MAX_VALUE;
   private static final ZoneId ZONE = new ZoneId("regina-a");
   private static final LimitId LIMIT = new LimitId("slots/order-desk-01");
@@ -78,6 +84,10 @@
             List.of(
                 new EndpointLimit(new EndpointId("i-1"), 1_700_000_000_000L, Optional.of(1.5)),
                 new EndpointLimit(new EndpointId("i-2"), 1_700_000_000_000L, Optional.empty()))),
+        new PeerMessage.AttemptLost(
+            new LostAttempt(FINGERPRINT, new EndpointId("i-1"), 1_700_000_000_000L)),
+        new PeerMessage.RequestSurvived(FINGERPRINT),
+        new PeerMessage.RequestBlocks(List.of(new RequestBlock(FINGERPRINT, 2, 600_000))),
         new PeerMessage.RowsRequest("ENDPOINTS", 2, 12),
         new PeerMessage.RowsUpdate(
             "ENDPOINTS",
