Know a request again that comes from another address

Requests were known by the address of their connection; but the repeats come to VMs of several zones, and lookups name each caller the VMs of its own zone, so they come from different addresses. The endpoint never sees that address, so it can't be what ends it.

The caller is now what the request says of it: credentials and affinity key.

--- a/core/src/main/java/org/mustardstage/core/placement/RequestFingerprint.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RequestFingerprint.java
@@ -23,7 +23,8 @@
    * Returns the fingerprint of a request.
    *
    * @param path the path and query as the caller wrote them
-   * @param caller the address from which the caller connected
+   * @param caller what the request says of its caller; not the address it came from, which is
+   *     another one when a request comes again by another way
    */
   public static RequestFingerprint of(String path, String caller, byte[] body) {
     return new RequestFingerprint(
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
@@ -36,6 +36,14 @@
     long deadlineNanos) {
   /** Returns what identifies the request when it comes again. */
   RequestFingerprint fingerprint() {
-    return RequestFingerprint.of(pathAndQuery, caller, body);
+    return RequestFingerprint.of(pathAndQuery, callerIdentity(), body);
+  }
+
+  /**
+   * Returns what the request says of its caller: its credentials and its affinity key. Other
+   * cookies may differ each time.
+   */
+  private String callerIdentity() {
+    return headers.find("Authorization").orElse("") + "\n" + affinityKey.orElse("");
   }
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/CrashingRequestTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/CrashingRequestTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -88,6 +89,23 @@
     assertThat(retriesCounted(), is(lessThanOrEqualTo(ALLOWED_RETRIES)));
   }
 
+  /** The request comes again by other ways, so each time from another address. */
+  @Test
+  void requestThatComesFromAnotherAddressIsKnownAgain() throws Exception {
+    startCallers(CRASHING_PATH, 100);
+    for (int i = 0; i < 100; i++) {
+      try (HttpClient other =
+          HttpClient.newBuilder()
+              .localAddress(InetAddress.getByName("127.0.0." + (10 + i)))
+              .build()) {
+        HostAndPort address = deployment.callerAddresses().get(i % VMS);
+        call(other, address, CRASHING_PATH, 100);
+      }
+    }
+
+    assertThat(retriesCounted(), is(lessThanOrEqualTo(ALLOWED_RETRIES)));
+  }
+
   @Test
   void vmThatStartsDoesNotRetryARequestThatCrashedThreeEndpoints() throws Exception {
     startCallers(CRASHING_PATH, 100);
@@ -131,12 +149,12 @@
             .start(
                 () -> {
                   while (!stopped) {
-                    call(address, path, intervalMillis);
+                    call(client, address, path, intervalMillis);
                   }
                 }));
   }
 
-  private void call(HostAndPort address, String path, long intervalMillis) {
+  private void call(HttpClient from, HostAndPort address, String path, long intervalMillis) {
     int number = nextRequest.incrementAndGet();
     String target = path.endsWith("/") ? path + number : path;
     HttpRequest request =
@@ -146,7 +164,7 @@
             .header("X-Deadline-Ms", "2000")
             .build();
     try {
-      if (client.send(request, BodyHandlers.discarding()).statusCode() == 200) {
+      if (from.send(request, BodyHandlers.discarding()).statusCode() == 200) {
         served.incrementAndGet();
       }
       Thread.sleep(intervalMillis);
