Split the lost attempts of a request from its execution; drop what nothing calls

No change of behaviour: LostAttempts holds what RequestExecution kept about lost attempts, BlockedRequests forgets old blocks by itself, EndpointLimits.known had no caller.

--- a/core/src/main/java/org/mustardstage/core/placement/BlockedRequests.java
+++ b/core/src/main/java/org/mustardstage/core/placement/BlockedRequests.java
@@ -8,6 +8,9 @@
 
 /** The requests that are blocked, each for a time. */
 public final class BlockedRequests {
+  /** How long it counts, after a block has ended, that the request was blocked: a day. */
+  private static final long MEMORY_NANOS = 86_400_000_000_000L;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Map<RequestFingerprint, Block> blocks = new HashMap<>();
@@ -20,6 +23,7 @@
    * @return whether it was not
    */
   public boolean add(long nowNanos, RequestBlock block) {
+    blocks.values().removeIf(each -> nowNanos - each.untilNanos() > MEMORY_NANOS);
     Block known = blocks.get(block.fingerprint());
     if (known != null && known.timesBlocked() >= block.timesBlocked()) {
       return false;
@@ -61,11 +65,6 @@
     return Optional.ofNullable(blocks.get(fingerprint)).map(Block::timesBlocked).orElse(0);
   }
 
-  /** Forgets the requests whose block ended longer than {@code memoryNanos} ago. */
-  void removeOlderThan(long nowNanos, long memoryNanos) {
-    blocks.values().removeIf(block -> nowNanos - block.untilNanos() > memoryNanos);
-  }
-
   /** Returns all blocks, also those that have ended but count if the request comes again. */
   public ImmutableList<RequestBlock> list(long nowNanos) {
     return blocks.entrySet().stream()
--- a/core/src/main/java/org/mustardstage/core/placement/CrashingRequests.java
+++ b/core/src/main/java/org/mustardstage/core/placement/CrashingRequests.java
@@ -27,9 +27,6 @@
   private static final long FIRST_BLOCK_MILLIS = 300_000L;
   private static final long MAX_BLOCK_MILLIS = 86_400_000L;
 
-  /** How long it counts, after a block has ended, that the request was blocked. */
-  private static final long BLOCK_MEMORY_NANOS = 86_400_000_000_000L;
-
   /** Bounds the memory; the requests that were lost least recently are forgotten. */
   private static final int MAX_SUSPECTS = 10_000;
 
@@ -94,7 +91,6 @@
 
   /** Blocks a request; returns whether that is news. */
   public boolean applyBlock(long nowNanos, RequestBlock block) {
-    blocked.removeOlderThan(nowNanos, BLOCK_MEMORY_NANOS);
     suspects.remove(block.fingerprint());
     return blocked.add(nowNanos, block);
   }
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
@@ -1,6 +1,5 @@
 package org.mustardstage.core.placement;
 
-import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -216,16 +215,4 @@
       limits.remove(reported.id());
     }
   }
-
-  /** Returns the limits in force. */
-  public ImmutableList<EndpointLimit> known() {
-    return limits.entrySet().stream()
-        .map(
-            entry ->
-                new EndpointLimit(
-                    entry.getKey(),
-                    entry.getValue().startTimeMillis,
-                    Optional.of(entry.getValue().requestsPerSecond)))
-        .collect(ImmutableList.toImmutableList());
-  }
 }
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
@@ -0,0 +1,56 @@
+package org.mustardstage.entry.gateway;
+
+import io.activej.reactor.nio.NioReactor;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.placement.LostAttempt;
+
+/** The attempts of one request that ended without a response. Used on the traffic thread only. */
+final class LostAttempts {
+  /** By then, all connections to a process that has ended are closed. */
+  private static final long END_DETECTION_MILLIS = 400;
+
+  private final NioReactor reactor;
+  private final EndpointConnectionPool connections;
+  private final CrashGuard crashGuard;
+  private final CallerRequest request;
+  private int count;
+  private boolean survived;
+
+  LostAttempts(
+      NioReactor reactor,
+      EndpointConnectionPool connections,
+      CrashGuard crashGuard,
+      CallerRequest request) {
+    this.reactor = reactor;
+    this.connections = connections;
+    this.crashGuard = crashGuard;
+    this.request = request;
+  }
+
+  /** Returns how many attempts were lost. */
+  int count() {
+    return count;
+  }
+
+  /** Records a lost attempt, and reports it if the endpoint turns out to have ended. */
+  void record(RegisteredEndpoint endpoint) {
+    count++;
+    long lostNanos = System.nanoTime();
+    reactor.delayBackground(END_DETECTION_MILLIS, () -> reportIfEnded(endpoint, lostNanos));
+  }
+
+  private void reportIfEnded(RegisteredEndpoint endpoint, long lostNanos) {
+    if (!survived && !connections.hasConnectionSince(endpoint.address(), lostNanos)) {
+      crashGuard.reportLost(
+          new LostAttempt(request.fingerprint(), endpoint.id(), endpoint.startTimeMillis()));
+    }
+  }
+
+  /** Records that an endpoint has run the request and responded. */
+  void recordResponse() {
+    if (count > 0) {
+      survived = true;
+      crashGuard.reportSurvived(request.fingerprint());
+    }
+  }
+}
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -19,7 +19,6 @@
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.placement.AttemptResult;
 import org.mustardstage.core.placement.AttemptResult.Status;
-import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.PlacementDecision;
 
 /**
@@ -41,9 +40,6 @@
 
   private static final long MIN_HEDGE_DELAY_MILLIS = 500;
 
-  /** By then, all connections to a process that has ended are closed. */
-  private static final long END_DETECTION_MILLIS = 400;
-
   /** Why a request is rejected that has ended several endpoints; sent to callers and logged. */
   private static final String CRASHES_ENDPOINTS = "CRASHES_ENDPOINTS";
 
@@ -56,6 +52,7 @@
   private final Placer placer;
   private final EndpointConnectionPool connections;
   private final CrashGuard crashGuard;
+  private final LostAttempts lostAttempts;
   private final HeaderNames headerNames;
   private final CallerRequest request;
   private final SettablePromise<RequestOutcome> outcome = new SettablePromise<>();
@@ -66,8 +63,6 @@
   private Optional<ScheduledRunnable> timeout = Optional.empty();
   private int sentAttempts;
   private int failedConnects;
-  private int lostAttempts;
-  private boolean survived;
   private boolean mayHaveRun;
 
   /** A server error from an endpoint, forwarded if no other endpoint responds with a success. */
@@ -118,6 +113,7 @@
     this.crashGuard = crashGuard;
     this.headerNames = headerNames;
     this.request = request;
+    this.lostAttempts = new LostAttempts(reactor, connectionPool, crashGuard, request);
   }
 
   /** Starts the execution. The returned promise never fails. */
@@ -135,7 +131,7 @@
 
   /** Returns how many attempts ended without a response because their connection was lost. */
   int lostAttempts() {
-    return lostAttempts;
+    return lostAttempts.count();
   }
 
   private long remainingMillis() {
@@ -324,18 +320,9 @@
   }
 
   private void recordLost(Attempt current, String how) {
-    lostAttempts++;
     RegisteredEndpoint endpoint = current.placed.endpoint();
     trace.add(endpoint.id() + ":" + how);
-    long lostNanos = System.nanoTime();
-    reactor.delayBackground(
-        END_DETECTION_MILLIS,
-        () -> {
-          if (!survived && !connections.hasConnectionSince(endpoint.address(), lostNanos)) {
-            crashGuard.reportLost(
-                new LostAttempt(request.fingerprint(), endpoint.id(), endpoint.startTimeMillis()));
-          }
-        });
+    lostAttempts.record(endpoint);
   }
 
   private void onResponse(Attempt current, EndpointResponse response) {
@@ -363,10 +350,7 @@
       return;
     }
     returnToPool(current);
-    if (lostAttempts > 0) {
-      survived = true;
-      crashGuard.reportSurvived(request.fingerprint());
-    }
+    lostAttempts.recordResponse();
     boolean failed = response.status() >= MIN_SERVER_ERROR_STATUS;
     current.finish(failed ? Status.FAILED : Status.ANSWERED, report);
     if (failed && !attemptsInFlight.isEmpty()) {
