Read the change again: one way to list alive VMs, to read a block, to end a request

No change of what callers or endpoints see. - The alive VMs were listed in four places; MemberView does it now. - A blocked request was read in three ways and found among all blocks; one method reads it. - The fingerprint was computed at each placement of a request while any block is kept, and the caller's address formatted for each request though only the log of lost attempts has it; both are done when first needed. - Three places told a caller of a failure in the same words; one does now. - The time after which a VM knows the others stood in two places. - LimitShares took another order of the same VMs for a change of them. - The log called messages about limits and blocks messages about rows. - Tests: one set of header names, one list of VMs that rejects.

--- a/core/src/main/java/org/mustardstage/core/member/MemberView.java
+++ b/core/src/main/java/org/mustardstage/core/member/MemberView.java
@@ -56,14 +56,20 @@
     return silentZones.contains(member.zone());
   }
 
+  /** Returns all members that are believed alive, suspected ones and this VM included. */
+  public ImmutableList<Member> alive() {
+    return statuses.stream()
+        .filter(MemberStatus::isAlive)
+        .map(MemberStatus::member)
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /**
    * Returns the members of the own zone that are believed alive, suspected ones and this VM
    * included.
    */
   public ImmutableList<Member> aliveInOwnZone() {
-    return statuses.stream()
-        .filter(MemberStatus::isAlive)
-        .map(MemberStatus::member)
+    return alive().stream()
         .filter(member -> member.zone().equals(self.zone()))
         .collect(ImmutableList.toImmutableList());
   }
--- a/core/src/main/java/org/mustardstage/core/member/MembershipSettings.java
+++ b/core/src/main/java/org/mustardstage/core/member/MembershipSettings.java
@@ -30,6 +30,9 @@
     int deadAfterIntervals,
     long digestIntervalNanos,
     long goneAfterNanos) {
+  /** A VM that has run for this long knows the members of every region that still has VMs. */
+  public static final long DISCOVERY_NANOS = Duration.ofSeconds(6).toNanos();
+
   /** Checks that a VM is suspected before it is believed dead. */
   public MembershipSettings {
     Preconditions.checkArgument(
--- a/core/src/main/java/org/mustardstage/core/placement/BlockedRequests.java
+++ b/core/src/main/java/org/mustardstage/core/placement/BlockedRequests.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /** The requests that are blocked, each for a time. */
 public final class BlockedRequests {
@@ -39,25 +38,17 @@
     return blocks.isEmpty();
   }
 
-  /** Returns how much longer a request is blocked, in milliseconds; empty if it is not. */
-  public OptionalLong remainingMillis(long nowNanos, RequestFingerprint fingerprint) {
-    Block block = blocks.get(fingerprint);
-    return block == null || nowNanos - block.untilNanos() >= 0
-        ? OptionalLong.empty()
-        : OptionalLong.of(remainingMillis(nowNanos, block));
-  }
-
-  private static long remainingMillis(long nowNanos, Block block) {
-    return Math.max(0, (block.untilNanos() - nowNanos) / NANOS_PER_MILLI);
+  /** Returns the block of a request, if it is blocked now. */
+  public Optional<RequestBlock> find(long nowNanos, RequestFingerprint fingerprint) {
+    return Optional.ofNullable(blocks.get(fingerprint))
+        .filter(block -> nowNanos - block.untilNanos() < 0)
+        .map(block -> requestBlock(nowNanos, fingerprint, block));
   }
 
-  /** Returns the block of a request, if it is blocked now. */
-  Optional<RequestBlock> find(long nowNanos, RequestFingerprint fingerprint) {
-    OptionalLong remainingMillis = remainingMillis(nowNanos, fingerprint);
-    return remainingMillis.isEmpty()
-        ? Optional.empty()
-        : Optional.of(
-            new RequestBlock(fingerprint, timesBlocked(fingerprint), remainingMillis.getAsLong()));
+  private static RequestBlock requestBlock(
+      long nowNanos, RequestFingerprint fingerprint, Block block) {
+    long remainingMillis = Math.max(0, (block.untilNanos() - nowNanos) / NANOS_PER_MILLI);
+    return new RequestBlock(fingerprint, block.timesBlocked(), remainingMillis);
   }
 
   /** Returns how often a request was blocked. */
@@ -68,12 +59,7 @@
   /** Returns all blocks, also those that have ended but count if the request comes again. */
   public ImmutableList<RequestBlock> list(long nowNanos) {
     return blocks.entrySet().stream()
-        .map(
-            entry ->
-                new RequestBlock(
-                    entry.getKey(),
-                    entry.getValue().timesBlocked(),
-                    remainingMillis(nowNanos, entry.getValue())))
+        .map(entry -> requestBlock(nowNanos, entry.getKey(), entry.getValue()))
         .collect(ImmutableList.toImmutableList());
   }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/CrashingRequests.java
+++ b/core/src/main/java/org/mustardstage/core/placement/CrashingRequests.java
@@ -24,7 +24,9 @@
   /** How long a lost attempt counts. */
   private static final long SUSPICION_NANOS = 60_000_000_000L;
 
+  /** Bounds the harm to a request that is blocked by mistake. */
   private static final long FIRST_BLOCK_MILLIS = 300_000L;
+
   private static final long MAX_BLOCK_MILLIS = 86_400_000L;
 
   /** Bounds the memory; the requests that were lost least recently are forgotten. */
@@ -50,7 +52,7 @@
    */
   public Optional<RequestBlock> recordLost(long nowNanos, LostAttempt lost) {
     RequestFingerprint fingerprint = lost.fingerprint();
-    if (blocked.remainingMillis(nowNanos, fingerprint).isPresent()) {
+    if (blocked.find(nowNanos, fingerprint).isPresent()) {
       return Optional.empty();
     }
     forgetOldSuspects(nowNanos);
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
@@ -120,7 +120,7 @@
 
   private boolean isTrialDue(long nowNanos, RegisteredEndpoint endpoint, Limit limit) {
     long dueNanos = limit.trialsFromNanos + (long) (rankOf(endpoint) * trialIntervalNanos(limit));
-    return nowNanos - limit.trialsFromNanos >= 0 && nowNanos - dueNanos >= 0;
+    return nowNanos - dueNanos >= 0;
   }
 
   /** Returns the time between the trials of two VMs. */
--- a/core/src/main/java/org/mustardstage/core/placement/LimitShares.java
+++ b/core/src/main/java/org/mustardstage/core/placement/LimitShares.java
@@ -1,6 +1,7 @@
 package org.mustardstage.core.placement;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,10 +16,12 @@
 import org.mustardstage.core.member.MemberRanks;
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
+import org.mustardstage.core.member.MembershipSettings;
 import org.mustardstage.core.member.Representatives;
 
 /**
- * Decides which share of a limit that binds all VMs together this VM may use, without messages.
+ * Decides which share of a limit that binds all VMs together this VM may use, without messages: of
+ * the rate that an endpoint names, and of what a cold endpoint bears.
  *
  * <p>One VM of the endpoint's region, its representative, uses the limit. A share for each VM would
  * be less than one request in many seconds at hundreds of VMs, and the first request of each would
@@ -41,9 +44,6 @@
   /** By then, the VMs know of each other's failure or start. */
   private static final long HANDOVER_NANOS = 4_000_000_000L;
 
-  /** A VM that has run for this long knows the other VMs of its region. */
-  private static final long DISCOVERY_NANOS = 6_000_000_000L;
-
   /** How long VMs that are gone count as VMs of the region that may only be cut off. */
   private static final long GONE_AFTER_NANOS = 60_000_000_000L;
 
@@ -71,7 +71,7 @@
    * @param changedNanos when {@code serving} last changed
    */
   private record RegionVms(
-      ImmutableList<Member> serving, int aliveCount, int suspectedCount, long changedNanos) {}
+      ImmutableSet<Member> serving, int aliveCount, int suspectedCount, long changedNanos) {}
 
   /** Whether this VM represents an endpoint, and since when that has not changed. */
   private record Role(RegionId region, boolean representative, long sinceNanos) {}
@@ -121,12 +121,13 @@
 
   private static RegionVms regionVms(
       long nowNanos, List<MemberStatus> inRegion, Optional<RegionVms> before) {
-    ImmutableList<Member> serving =
-        LargeVmSelector.selectPerZone(
-            inRegion.stream()
-                .filter(MemberStatus::acceptsCallers)
-                .map(MemberStatus::member)
-                .toList());
+    ImmutableSet<Member> serving =
+        ImmutableSet.copyOf(
+            LargeVmSelector.selectPerZone(
+                inRegion.stream()
+                    .filter(MemberStatus::acceptsCallers)
+                    .map(MemberStatus::member)
+                    .toList()));
     Optional<RegionVms> unchanged = before.filter(vms -> vms.serving().equals(serving));
     return new RegionVms(
         serving,
@@ -146,7 +147,7 @@
 
   /** Returns which part of the limit of an endpoint in {@code region} this VM may use, 0 to 1. */
   double shareOf(long nowNanos, EndpointId endpoint, RegionId region) {
-    if (nowNanos - createdNanos < DISCOVERY_NANOS) {
+    if (nowNanos - createdNanos < MembershipSettings.DISCOVERY_NANOS) {
       return 0;
     }
     Role role = roles.computeIfAbsent(endpoint, id -> initialRole(id, region));
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -424,24 +424,24 @@
         case PeerMessage.ConfigAnnounce announce -> config.offerPeerHead(from, announce);
         case PeerMessage.ConfigFetch fetch -> config.sendObjects(from, fetch);
         case PeerMessage.ConfigObjects objects -> config.storeObjects(from, objects);
-        case PeerMessage.RowsRequest request -> logUnexpectedRows(from);
-        case PeerMessage.RowsUpdate update -> logUnexpectedRows(from);
-        case PeerMessage.EndpointsLeaving leaving -> logUnexpectedRows(from);
-        case PeerMessage.EndpointLimits limits -> logUnexpectedRows(from);
-        case PeerMessage.AttemptLost lost -> logUnexpectedRows(from);
-        case PeerMessage.RequestSurvived survived -> logUnexpectedRows(from);
-        case PeerMessage.RequestBlocks blocks -> logUnexpectedRows(from);
+        case PeerMessage.RowsRequest request -> logGatewayMessage(from);
+        case PeerMessage.RowsUpdate update -> logGatewayMessage(from);
+        case PeerMessage.EndpointsLeaving leaving -> logGatewayMessage(from);
+        case PeerMessage.EndpointLimits limits -> logGatewayMessage(from);
+        case PeerMessage.AttemptLost lost -> logGatewayMessage(from);
+        case PeerMessage.RequestSurvived survived -> logGatewayMessage(from);
+        case PeerMessage.RequestBlocks blocks -> logGatewayMessage(from);
       }
     }
 
     /** Logs a message that only gateway VMs exchange; they run without manifests. */
-    private void logUnexpectedRows(Member from) {
+    private void logGatewayMessage(Member from) {
       EventLog.log(
           Event.BAD_FRAME,
           "vm",
           from.incarnation(),
           "why",
-          "unexpected message about rows or endpoints: only gateway VMs exchange them");
+          "unexpected message: only gateway VMs exchange it");
     }
 
     private void applyMembershipMessage(Member from, PeerMessage.Membership membershipMessage) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
@@ -1,6 +1,7 @@
 package org.mustardstage.entry.gateway;
 
 import io.activej.http.HttpMethod;
+import java.net.InetAddress;
 import java.util.Optional;
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.core.id.ServiceName;
@@ -17,7 +18,7 @@
  * @param pathAndQuery the request target as the caller wrote it
  * @param headers the headers that are forwarded to the endpoint
  * @param body the complete body; must not be modified
- * @param caller the address from which the caller connected
+ * @param callerAddress the address from which the caller connected
  * @param arrivalNanos when the request arrived
  * @param deadlineNanos the earlier of the caller's deadline and the rule's timeout
  */
@@ -31,7 +32,7 @@
     String pathAndQuery,
     HeaderList headers,
     byte[] body,
-    String caller,
+    InetAddress callerAddress,
     long arrivalNanos,
     long deadlineNanos) {
   /** Returns what identifies the request when it comes again. */
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CrashExchange.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CrashExchange.java
@@ -11,7 +11,6 @@
 import java.util.function.LongSupplier;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.member.Member;
-import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.Representatives;
 import org.mustardstage.core.placement.CrashingRequests;
@@ -31,6 +30,7 @@
  * to two others once, as messages are lost while a link is down. Confined to the control thread.
  */
 final class CrashExchange {
+  /** Two, so that one of them may fail. */
   private static final int COLLECTORS_PER_REQUEST = 2;
 
   /** To how many VMs each VM passes on a block that is new to it. */
@@ -74,7 +74,7 @@
 
   private void sendToCollectors(
       MemberView view, RequestFingerprint fingerprint, PeerMessage message) {
-    Representatives.first(COLLECTORS_PER_REQUEST, "crash/" + fingerprint, alive(view)).stream()
+    Representatives.first(COLLECTORS_PER_REQUEST, "crash/" + fingerprint, view.alive()).stream()
         .filter(member -> !member.vm().equals(self))
         .forEach(member -> sender.accept(member, message));
   }
@@ -113,9 +113,7 @@
     List<Repeat> due = repeats.stream().filter(each -> nowNanos - each.atNanos() >= 0).toList();
     repeats.removeAll(due);
     for (Repeat repeat : due) {
-      requests.blocks(nowNanos).stream()
-          .filter(block -> block.fingerprint().equals(repeat.fingerprint()))
-          .forEach(block -> sendToAll(view, block));
+      requests.blockOf(nowNanos, repeat.fingerprint()).ifPresent(block -> sendToAll(view, block));
       if (repeat.remaining() > 1) {
         repeats.add(
             new Repeat(
@@ -126,18 +124,11 @@
 
   private void sendToAll(MemberView view, RequestBlock block) {
     PeerMessage message = new PeerMessage.RequestBlocks(ImmutableList.of(block));
-    alive(view).stream()
+    view.alive().stream()
         .filter(member -> !member.vm().equals(self))
         .forEach(member -> sender.accept(member, message));
   }
 
-  private static List<Member> alive(MemberView view) {
-    return view.statuses().stream()
-        .filter(MemberStatus::isAlive)
-        .map(MemberStatus::member)
-        .toList();
-  }
-
   /** Applies the blocks that another VM tells. */
   void onBlocks(MemberView view, List<RequestBlock> blocks) {
     List<RequestBlock> news =
@@ -151,7 +142,7 @@
 
   /** Tells the VMs that follow this one in an order that all VMs agree on. */
   private void passOn(MemberView view, RequestBlock block) {
-    List<Member> order = alive(view).stream().sorted(Comparator.comparing(Member::vm)).toList();
+    List<Member> order = view.alive().stream().sorted(Comparator.comparing(Member::vm)).toList();
     int ownIndex = Iterables.indexOf(order, member -> member.vm().equals(self));
     PeerMessage message = new PeerMessage.RequestBlocks(ImmutableList.of(block));
     for (int i = 1; i <= Math.min(PASSED_ON_TO, order.size() - 1); i++) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CrashGuard.java
@@ -1,7 +1,8 @@
 package org.mustardstage.entry.gateway;
 
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
+import java.util.function.Supplier;
 import org.mustardstage.core.placement.BlockedRequests;
 import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.RequestBlock;
@@ -42,11 +43,11 @@
     blocks.forEach(block -> blocked.add(nowNanos, block));
   }
 
-  /** Returns how much longer the request is blocked, in milliseconds; empty if it is not. */
-  OptionalLong blockedMillis(CallerRequest request) {
+  /** Returns the block of a request, if it is blocked now. */
+  Optional<RequestBlock> findBlock(Supplier<RequestFingerprint> fingerprint) {
     return blocked.isEmpty()
-        ? OptionalLong.empty()
-        : blocked.remainingMillis(System.nanoTime(), request.fingerprint());
+        ? Optional.empty()
+        : blocked.find(System.nanoTime(), fingerprint.get());
   }
 
   void reportLost(LostAttempt lost) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLimitExchange.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLimitExchange.java
@@ -10,7 +10,6 @@
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.member.Member;
-import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.EndpointLimits;
@@ -26,6 +25,8 @@
   private final VmId self;
   private final BiConsumer<Member, PeerMessage> sender;
   private final Consumer<List<EndpointLimit>> listener;
+
+  /** For VMs that open a link; the traffic thread's limits can't be read from this thread. */
   private final Map<EndpointId, EndpointLimit> inForce = new HashMap<>();
 
   EndpointLimitExchange(
@@ -41,9 +42,7 @@
     Predicate<Member> hears =
         member -> report.toAllRegions() || member.region().equals(view.self().region());
     PeerMessage message = new PeerMessage.EndpointLimits(ImmutableList.of(report.limit()));
-    view.statuses().stream()
-        .filter(MemberStatus::isAlive)
-        .map(MemberStatus::member)
+    view.alive().stream()
         .filter(member -> !member.vm().equals(self))
         .filter(hears)
         .forEach(member -> sender.accept(member, message));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -53,9 +53,6 @@
   private static final long VM_LIST_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final long MISSED_HEARTBEATS_UNTIL_SILENT = 4;
 
-  /** A VM that has run for this long knows the members of every region that still has VMs. */
-  private static final long REGION_DISCOVERY_NANOS = TimeUnit.SECONDS.toNanos(6);
-
   /**
    * The store responds to a change by operators at once. The wait of 4 s is also the time after
    * which a connection that no longer responds is noticed.
@@ -335,7 +332,8 @@
     }
     ImmutableList<HostAndPort> inRegion =
         addresses(servingMembers, member -> member.region().equals(region));
-    if (!inRegion.isEmpty() || clock.getAsLong() - createdNanos < REGION_DISCOVERY_NANOS) {
+    if (!inRegion.isEmpty()
+        || clock.getAsLong() - createdNanos < MembershipSettings.DISCOVERY_NANOS) {
       return inRegion;
     }
     return addresses(servingMembers, member -> true);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -9,6 +9,7 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import io.vavr.control.Either;
+import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Optional;
@@ -93,7 +94,7 @@
     ServiceName service = serviceSelector.select(head.get().rule());
     CallerConnection connection = CallerConnections.of(httpRequest);
     String pathAndQuery = httpRequest.getPathAndQuery();
-    String caller = httpRequest.getRemoteAddress().getHostAddress();
+    InetAddress callerAddress = httpRequest.getRemoteAddress();
     var method = httpRequest.getMethod();
     long maxBytes =
         Math.min(MAX_BUFFERED_BODY_BYTES, activeConfig.get().callerLimits().maxBodyBytes());
@@ -116,7 +117,7 @@
                       pathAndQuery,
                       head.get().headers(),
                       body.bytes(),
-                      caller,
+                      callerAddress,
                       arrivalNanos,
                       head.get().deadlineNanos());
               return execute(request, connection, activeConfig.get())
@@ -160,8 +161,8 @@
           request.id(),
           "fingerprint",
           request.fingerprint(),
-          "caller",
-          request.caller(),
+          "callerAddress",
+          request.callerAddress().getHostAddress(),
           "lost",
           execution.lostAttempts());
     }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
@@ -1,8 +1,10 @@
 package org.mustardstage.entry.gateway;
 
 import io.activej.reactor.nio.NioReactor;
+import java.util.function.Supplier;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.placement.LostAttempt;
+import org.mustardstage.core.placement.RequestFingerprint;
 
 /** The attempts of one request that ended without a response. Used on the traffic thread only. */
 final class LostAttempts {
@@ -12,7 +14,7 @@
   private final NioReactor reactor;
   private final EndpointConnectionPool connections;
   private final CrashGuard crashGuard;
-  private final CallerRequest request;
+  private final Supplier<RequestFingerprint> fingerprint;
   private int count;
   private boolean survived;
 
@@ -20,11 +22,11 @@
       NioReactor reactor,
       EndpointConnectionPool connections,
       CrashGuard crashGuard,
-      CallerRequest request) {
+      Supplier<RequestFingerprint> fingerprint) {
     this.reactor = reactor;
     this.connections = connections;
     this.crashGuard = crashGuard;
-    this.request = request;
+    this.fingerprint = fingerprint;
   }
 
   /** Returns how many attempts were lost. */
@@ -42,7 +44,7 @@
   private void reportIfEnded(RegisteredEndpoint endpoint, long lostNanos) {
     if (!survived && !connections.hasConnectionSince(endpoint.address(), lostNanos)) {
       crashGuard.reportLost(
-          new LostAttempt(request.fingerprint(), endpoint.id(), endpoint.startTimeMillis()));
+          new LostAttempt(fingerprint.get(), endpoint.id(), endpoint.startTimeMillis()));
     }
   }
 
@@ -50,7 +52,7 @@
   void recordResponse() {
     if (count > 0) {
       survived = true;
-      crashGuard.reportSurvived(request.fingerprint());
+      crashGuard.reportSurvived(fingerprint.get());
     }
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -1,5 +1,6 @@
 package org.mustardstage.entry.gateway;
 
+import com.google.common.base.Suppliers;
 import com.google.common.collect.ImmutableList;
 import io.activej.http.HttpMethod;
 import io.activej.promise.Promise;
@@ -12,14 +13,16 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.placement.AttemptResult;
 import org.mustardstage.core.placement.AttemptResult.Status;
 import org.mustardstage.core.placement.PlacementDecision;
+import org.mustardstage.core.placement.RequestBlock;
+import org.mustardstage.core.placement.RequestFingerprint;
 
 /**
  * Executes one request of a caller: requests a placement, sends the request to the chosen endpoint,
@@ -53,6 +56,10 @@
   private final EndpointConnectionPool connections;
   private final CrashGuard crashGuard;
   private final LostAttempts lostAttempts;
+
+  /** Computed when it is first needed, as it hashes the body. */
+  private final Supplier<RequestFingerprint> fingerprint;
+
   private final HeaderNames headerNames;
   private final CallerRequest request;
   private final SettablePromise<RequestOutcome> outcome = new SettablePromise<>();
@@ -113,7 +120,8 @@
     this.crashGuard = crashGuard;
     this.headerNames = headerNames;
     this.request = request;
-    this.lostAttempts = new LostAttempts(reactor, connectionPool, crashGuard, request);
+    this.fingerprint = Suppliers.memoize(request::fingerprint);
+    this.lostAttempts = new LostAttempts(reactor, connectionPool, crashGuard, fingerprint);
   }
 
   /** Starts the execution. The returned promise never fails. */
@@ -168,16 +176,13 @@
 
   /** Ends the request if it is blocked, as it has ended several endpoints. */
   private boolean rejectBlocked() {
-    OptionalLong blockedMillis = crashGuard.blockedMillis(request);
-    if (blockedMillis.isEmpty()) {
+    Optional<RequestBlock> block = crashGuard.findBlock(fingerprint);
+    if (block.isEmpty()) {
       return false;
     }
     trace.add(CRASHES_ENDPOINTS);
     if (attemptsInFlight.isEmpty()) {
-      finish(
-          mayHaveRun
-              ? new RequestOutcome.Unknown(RequestOutcome.Unknown.Cause.ENDPOINT_FAILED)
-              : new RequestOutcome.NotRun(CRASHES_ENDPOINTS, blockedMillis.getAsLong()));
+      finish(failureOutcome(CRASHES_ENDPOINTS, block.get().remainingMillis()));
     }
     return true;
   }
@@ -197,11 +202,7 @@
         if (!attemptsInFlight.isEmpty()) {
           return;
         }
-        finish(
-            mayHaveRun
-                ? new RequestOutcome.Unknown(RequestOutcome.Unknown.Cause.ENDPOINT_FAILED)
-                : new RequestOutcome.NotRun(
-                    rejected.reason().toString(), rejected.retryAfterMillis()));
+        finish(failureOutcome(rejected.reason().toString(), rejected.retryAfterMillis()));
       }
     }
   }
@@ -414,9 +415,13 @@
   }
 
   private RequestOutcome failureOutcome(String reason) {
+    return failureOutcome(reason, request.rule().latencyObjectiveMillis() / 2);
+  }
+
+  private RequestOutcome failureOutcome(String reason, long retryAfterMillis) {
     return mayHaveRun
         ? new RequestOutcome.Unknown(RequestOutcome.Unknown.Cause.ENDPOINT_FAILED)
-        : new RequestOutcome.NotRun(reason, request.rule().latencyObjectiveMillis() / 2);
+        : new RequestOutcome.NotRun(reason, retryAfterMillis);
   }
 
   private void retryOrFail(RequestOutcome.Unknown.Cause cause) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RowReplicator.java
@@ -151,12 +151,7 @@
   }
 
   private void requestRowsFromPeers(MemberView view) {
-    List<Member> peers =
-        view.statuses().stream()
-            .filter(MemberStatus::isAlive)
-            .map(MemberStatus::member)
-            .filter(member -> !member.vm().equals(self))
-            .toList();
+    List<Member> peers = view.alive().stream().filter(member -> !member.vm().equals(self)).toList();
     if (peers.isEmpty()) {
       return;
     }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/CrashExchangeTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/CrashExchangeTest.java
@@ -149,7 +149,7 @@
 
     /** Sends the request to an endpoint, which ends. */
     void onRequest() {
-      if (blocked.remainingMillis(nowNanos, REQUEST).isPresent()) {
+      if (blocked.find(nowNanos, REQUEST).isPresent()) {
         return;
       }
       crashNanos.add(nowNanos);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -29,7 +29,6 @@
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.HostAndPort;
-import org.mustardstage.core.member.Member;
 import org.mustardstage.core.placement.RegionShiftLimit;
 import org.mustardstage.entry.platform.PlatformFailure;
 import org.mustardstage.entry.platform.VmList;
@@ -146,31 +145,10 @@
     }
   }
 
-  private static final class UnreachableVmList implements VmList {
-    @Override
-    public Promise<Either<PlatformFailure, List<Member>>> read() {
-      return Promise.of(Either.left(new PlatformFailure.Refused(503)));
-    }
-
-    @Override
-    public Promise<Either<PlatformFailure, Void>> announce(Member self) {
-      return Promise.of(Either.left(new PlatformFailure.Refused(503)));
-    }
-  }
-
   private final class Adapter implements PlatformAdapter {
     @Override
     public HeaderNames headerNames() {
-      return new HeaderNames(
-          "X-Request-Id",
-          "X-Deadline-Ms",
-          "X-Expect-Instance",
-          "X-Server-Seal",
-          "X-Not-Executed",
-          "X-Server-Load",
-          "Server-Leaving",
-          LIMIT_HEADER,
-          "X-Affinity-Key");
+      return GatewayTestBed.HEADER_NAMES;
     }
 
     @Override
@@ -180,7 +158,7 @@
 
     @Override
     public VmList vmList(Eventloop eventloop) {
-      return new UnreachableVmList();
+      return new RejectingVmList();
     }
 
     @Override
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -37,7 +37,6 @@
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.HostAndPort;
-import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.RegionShiftLimit;
@@ -221,18 +220,6 @@
     }
   }
 
-  private static final class RejectingVmList implements VmList {
-    @Override
-    public Promise<Either<PlatformFailure, List<Member>>> read() {
-      return Promise.of(Either.left(new PlatformFailure.Refused(503)));
-    }
-
-    @Override
-    public Promise<Either<PlatformFailure, Void>> announce(Member self) {
-      return Promise.of(Either.left(new PlatformFailure.Refused(503)));
-    }
-  }
-
   private static final class FakeAdapter implements PlatformAdapter {
     private final RowStore rows;
 
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -45,6 +45,19 @@
   /** The service of the paths that begin with {@code /reports/}. */
   static final ServiceName REPORTS = new ServiceName("reports");
 
+  /** The names of the users' platform. */
+  static final HeaderNames HEADER_NAMES =
+      new HeaderNames(
+          "X-Request-Id",
+          "X-Deadline-Ms",
+          "X-Expect-Instance",
+          "X-Server-Seal",
+          "X-Not-Executed",
+          "X-Server-Load",
+          "Server-Leaving",
+          "Server-Limit",
+          "X-Affinity-Key");
+
   static final String NON_IDEMPOTENT_PATH = "/book/1";
   static final String IDEMPOTENT_PATH = "/look/1";
 
@@ -197,16 +210,7 @@
   private static final class FakeAdapter implements PlatformAdapter {
     @Override
     public HeaderNames headerNames() {
-      return new HeaderNames(
-          "X-Request-Id",
-          "X-Deadline-Ms",
-          "X-Expect-Instance",
-          "X-Server-Seal",
-          "X-Not-Executed",
-          "X-Server-Load",
-          "Server-Leaving",
-          "Server-Limit",
-          "X-Affinity-Key");
+      return HEADER_NAMES;
     }
 
     @Override
