Use one type for a run of an endpoint

LeavingEndpoint was an endpoint's id and start time; LostAttempt, EndpointLimit and CrashingRequests held the same pair again. It is EndpointIncarnation now. No change of behaviour.

--- a/core/src/main/java/org/mustardstage/core/placement/CrashingRequests.java
+++ b/core/src/main/java/org/mustardstage/core/placement/CrashingRequests.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.mustardstage.core.id.EndpointId;
 
 /**
  * Recognizes a request that ends each endpoint that runs it, from the attempts that all VMs have
@@ -38,10 +37,8 @@
 
   private final BlockedRequests blocked = new BlockedRequests();
 
-  private record Incarnation(EndpointId endpoint, long startTimeMillis) {}
-
   private static final class Suspect {
-    private final Set<Incarnation> ended = new HashSet<>();
+    private final Set<EndpointIncarnation> ended = new HashSet<>();
     private long lastLostNanos;
   }
 
@@ -58,7 +55,7 @@
     forgetOldSuspects(nowNanos);
     Suspect suspect = suspects.computeIfAbsent(fingerprint, key -> new Suspect());
     suspect.lastLostNanos = nowNanos;
-    suspect.ended.add(new Incarnation(lost.endpoint(), lost.startTimeMillis()));
+    suspect.ended.add(lost.endpoint());
     int timesBlocked = blocked.timesBlocked(fingerprint);
     if (timesBlocked == 0 && suspect.ended.size() < CRASHES_UNTIL_BLOCKED) {
       return Optional.empty();
--- a/core/src/main/java/org/mustardstage/core/placement/LeavingEndpoint.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointIncarnation.java
@@ -4,15 +4,15 @@
 import org.mustardstage.core.id.EndpointId;
 
 /**
- * An incarnation of an endpoint that has said in a response that it is leaving.
+ * One run of an endpoint, which may start again under its id and then knows nothing of before.
  *
  * @param id the id of the endpoint
  * @param startTimeMillis the start time by which the registry tells its incarnations apart, in
  *     milliseconds since the epoch
  */
-public record LeavingEndpoint(EndpointId id, long startTimeMillis) {
+public record EndpointIncarnation(EndpointId id, long startTimeMillis) {
   /** Returns the incarnation that {@code endpoint} registered. */
-  public static LeavingEndpoint of(RegisteredEndpoint endpoint) {
-    return new LeavingEndpoint(endpoint.id(), endpoint.startTimeMillis());
+  public static EndpointIncarnation of(RegisteredEndpoint endpoint) {
+    return new EndpointIncarnation(endpoint.id(), endpoint.startTimeMillis());
   }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointLimit.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointLimit.java
@@ -2,18 +2,14 @@
 
 import com.google.common.base.Preconditions;
 import java.util.Optional;
-import org.mustardstage.core.id.EndpointId;
 
 /**
  * What an endpoint has said in a response about the rate of requests that it takes from all VMs.
  *
- * @param id the id of the endpoint
- * @param startTimeMillis the start time by which the registry tells its incarnations apart, in
- *     milliseconds since the epoch
+ * @param endpoint the endpoint
  * @param requestsPerSecond the limit; empty if the endpoint no longer names one
  */
-public record EndpointLimit(
-    EndpointId id, long startTimeMillis, Optional<Double> requestsPerSecond) {
+public record EndpointLimit(EndpointIncarnation endpoint, Optional<Double> requestsPerSecond) {
   /** Checks that the limit is finite and not negative. */
   public EndpointLimit {
     Preconditions.checkArgument(
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
@@ -166,7 +166,7 @@
       long nowNanos, RegisteredEndpoint endpoint, LimitNotice.Limited limited) {
     EndpointLimit named =
         new EndpointLimit(
-            endpoint.id(), endpoint.startTimeMillis(), Optional.of(limited.requestsPerSecond()));
+            EndpointIncarnation.of(endpoint), Optional.of(limited.requestsPerSecond()));
     boolean changed = put(nowNanos, named);
     Limit limit = limits.get(endpoint.id());
     if (!changed && nowNanos - limit.reportedNanos < REPORT_INTERVAL_NANOS) {
@@ -185,7 +185,7 @@
     limits.remove(endpoint.id());
     return Optional.of(
         new Report(
-            new EndpointLimit(endpoint.id(), endpoint.startTimeMillis(), Optional.empty()),
+            new EndpointLimit(EndpointIncarnation.of(endpoint), Optional.empty()),
             /* toAllRegions= */ true));
   }
 
@@ -193,14 +193,15 @@
   private boolean put(long nowNanos, EndpointLimit named) {
     limits.values().removeIf(limit -> nowNanos - limit.heardNanos > MEMORY_NANOS);
     double requestsPerSecond = named.requestsPerSecond().orElseThrow();
-    Limit known = limits.get(named.id());
-    boolean isNew = known == null || known.startTimeMillis != named.startTimeMillis();
-    Limit limit = isNew ? new Limit(nowNanos, named.startTimeMillis()) : known;
+    EndpointIncarnation endpoint = named.endpoint();
+    Limit known = limits.get(endpoint.id());
+    boolean isNew = known == null || known.startTimeMillis != endpoint.startTimeMillis();
+    Limit limit = isNew ? new Limit(nowNanos, endpoint.startTimeMillis()) : known;
     boolean changed = isNew || limit.requestsPerSecond != requestsPerSecond;
     limit.requestsPerSecond = requestsPerSecond;
     limit.heardNanos = nowNanos;
     limit.trialsFromNanos = nowNanos + TRIAL_AFTER_NANOS;
-    limits.put(named.id(), limit);
+    limits.put(endpoint.id(), limit);
     return changed;
   }
 
@@ -210,9 +211,10 @@
       put(nowNanos, reported);
       return;
     }
-    Limit known = limits.get(reported.id());
-    if (known != null && known.startTimeMillis == reported.startTimeMillis()) {
-      limits.remove(reported.id());
+    EndpointIncarnation endpoint = reported.endpoint();
+    Limit known = limits.get(endpoint.id());
+    if (known != null && known.startTimeMillis == endpoint.startTimeMillis()) {
+      limits.remove(endpoint.id());
     }
   }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointRegistry.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointRegistry.java
@@ -96,16 +96,16 @@
    *
    * @return whether this was not known before
    */
-  public boolean markLeaving(long nowNanos, LeavingEndpoint endpoint) {
+  public boolean markLeaving(long nowNanos, EndpointIncarnation endpoint) {
     Departure known =
         leaving.put(endpoint.id(), new Departure(endpoint.startTimeMillis(), nowNanos));
     return known == null || known.startTimeMillis() != endpoint.startTimeMillis();
   }
 
   /** Returns the incarnations that are known to be leaving from their responses. */
-  public ImmutableList<LeavingEndpoint> leavingEndpoints() {
+  public ImmutableList<EndpointIncarnation> leavingEndpoints() {
     return leaving.entrySet().stream()
-        .map(entry -> new LeavingEndpoint(entry.getKey(), entry.getValue().startTimeMillis()))
+        .map(entry -> new EndpointIncarnation(entry.getKey(), entry.getValue().startTimeMillis()))
         .collect(ImmutableList.toImmutableList());
   }
 
--- a/core/src/test/java/org/mustardstage/core/placement/CrashingRequestsTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/CrashingRequestsTest.java
@@ -28,7 +28,9 @@
   }
 
   private Optional<RequestBlock> lose(RequestFingerprint fingerprint, String endpoint) {
-    return requests.recordLost(nowNanos, new LostAttempt(fingerprint, new EndpointId(endpoint), 1));
+    return requests.recordLost(
+        nowNanos,
+        new LostAttempt(fingerprint, new EndpointIncarnation(new EndpointId(endpoint), 1)));
   }
 
   private RequestBlock loseAtThreeEndpoints() {
@@ -49,11 +51,14 @@
   void threeRunsOfOneEndpointCountAsThree() {
     for (int run = 1; run <= 2; run++) {
       assertThat(
-          requests.recordLost(nowNanos, new LostAttempt(REQUEST, new EndpointId("i-1"), run)),
+          requests.recordLost(
+              nowNanos,
+              new LostAttempt(REQUEST, new EndpointIncarnation(new EndpointId("i-1"), run))),
           is(Optional.empty()));
     }
     assertThat(
-        requests.recordLost(nowNanos, new LostAttempt(REQUEST, new EndpointId("i-1"), 3)),
+        requests.recordLost(
+            nowNanos, new LostAttempt(REQUEST, new EndpointIncarnation(new EndpointId("i-1"), 3))),
         is(not(Optional.empty())));
   }
 
--- a/core/src/test/java/org/mustardstage/core/placement/EndpointRegistryTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/EndpointRegistryTest.java
@@ -123,8 +123,8 @@
   void incarnationThatSaidThatItIsLeavingIsNotUsable() {
     registry.updateEntry(nowNanos, FIRST_ENDPOINT);
 
-    assertThat(registry.markLeaving(nowNanos, LeavingEndpoint.of(FIRST_ENDPOINT)), is(true));
-    assertThat(registry.markLeaving(nowNanos, LeavingEndpoint.of(FIRST_ENDPOINT)), is(false));
+    assertThat(registry.markLeaving(nowNanos, EndpointIncarnation.of(FIRST_ENDPOINT)), is(true));
+    assertThat(registry.markLeaving(nowNanos, EndpointIncarnation.of(FIRST_ENDPOINT)), is(false));
     registry.updateEntry(nowNanos, FIRST_ENDPOINT);
     assertThat(registry.isUsable(FIRST_ENDPOINT.id()), is(false));
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/DeploymentState.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/DeploymentState.java
@@ -13,9 +13,9 @@
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.placement.EndpointIncarnation;
 import org.mustardstage.core.placement.EndpointRegistry;
 import org.mustardstage.core.placement.EvacuatedZones;
-import org.mustardstage.core.placement.LeavingEndpoint;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
 import org.mustardstage.entry.log.Event;
@@ -89,13 +89,13 @@
    * Records that endpoints said in a response that they are leaving; returns those of which this
    * was not known.
    */
-  ImmutableList<LeavingEndpoint> markLeaving(List<LeavingEndpoint> endpoints) {
+  ImmutableList<EndpointIncarnation> markLeaving(List<EndpointIncarnation> endpoints) {
     long nowNanos = clock.getAsLong();
-    ImmutableList<LeavingEndpoint> unknown =
+    ImmutableList<EndpointIncarnation> unknown =
         endpoints.stream()
             .filter(endpoint -> endpointRegistry.markLeaving(nowNanos, endpoint))
             .collect(ImmutableList.toImmutableList());
-    for (LeavingEndpoint endpoint : unknown) {
+    for (EndpointIncarnation endpoint : unknown) {
       EventLog.log(Event.ENDPOINT_LEAVING, "endpoint", endpoint.id(), "why", "its response");
     }
     if (!unknown.isEmpty()) {
@@ -105,7 +105,7 @@
   }
 
   /** Returns the endpoints that are known to be leaving from their responses. */
-  ImmutableList<LeavingEndpoint> leavingEndpoints() {
+  ImmutableList<EndpointIncarnation> leavingEndpoints() {
     return endpointRegistry.leavingEndpoints();
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLimitExchange.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLimitExchange.java
@@ -64,14 +64,14 @@
   private void record(EndpointLimit limit, String source) {
     EndpointLimit before =
         limit.requestsPerSecond().isPresent()
-            ? inForce.put(limit.id(), limit)
-            : inForce.remove(limit.id());
+            ? inForce.put(limit.endpoint().id(), limit)
+            : inForce.remove(limit.endpoint().id());
     boolean unchanged = before == null ? limit.requestsPerSecond().isEmpty() : before.equals(limit);
     if (!unchanged) {
       EventLog.log(
           Event.ENDPOINT_LIMIT_CHANGED,
           "endpoint",
-          limit.id(),
+          limit.endpoint().id(),
           "requestsPerSecond",
           limit.requestsPerSecond().map(Object::toString).orElse("unlimited"),
           "why",
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -27,9 +27,9 @@
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.Membership;
 import org.mustardstage.core.member.MembershipSettings;
+import org.mustardstage.core.placement.EndpointIncarnation;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.EndpointLimits;
-import org.mustardstage.core.placement.LeavingEndpoint;
 import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
@@ -258,8 +258,8 @@
   void onEndpointLeaving(RegisteredEndpoint endpoint) {
     eventloop.execute(
         () -> {
-          ImmutableList<LeavingEndpoint> unknown =
-              deployment.markLeaving(ImmutableList.of(LeavingEndpoint.of(endpoint)));
+          ImmutableList<EndpointIncarnation> unknown =
+              deployment.markLeaving(ImmutableList.of(EndpointIncarnation.of(endpoint)));
           if (!unknown.isEmpty()) {
             rowReplicator.sendToRegion(memberView.get(), new PeerMessage.EndpointsLeaving(unknown));
           }
@@ -458,7 +458,7 @@
 
     /** Tells a VM that may have just started what no row of the store says. */
     private void sendLeavingEndpoints(Member to) {
-      ImmutableList<LeavingEndpoint> leavingEndpoints = deployment.leavingEndpoints();
+      ImmutableList<EndpointIncarnation> leavingEndpoints = deployment.leavingEndpoints();
       if (!leavingEndpoints.isEmpty()) {
         network.send(to, new PeerMessage.EndpointsLeaving(leavingEndpoints));
       }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
@@ -3,6 +3,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.util.function.Supplier;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.placement.EndpointIncarnation;
 import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.RequestFingerprint;
 
@@ -43,8 +44,7 @@
 
   private void reportIfEnded(RegisteredEndpoint endpoint, long lostNanos) {
     if (!survived && !connections.hasConnectionSince(endpoint.address(), lostNanos)) {
-      crashGuard.reportLost(
-          new LostAttempt(fingerprint.get(), endpoint.id(), endpoint.startTimeMillis()));
+      crashGuard.reportLost(new LostAttempt(fingerprint.get(), EndpointIncarnation.of(endpoint)));
     }
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -15,8 +15,8 @@
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.member.MemberMessage;
+import org.mustardstage.core.placement.EndpointIncarnation;
 import org.mustardstage.core.placement.EndpointLimit;
-import org.mustardstage.core.placement.LeavingEndpoint;
 import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
@@ -113,8 +113,8 @@
       case PeerMessage.AttemptLost lost ->
           new WireAttemptLost()
               .withFingerprint(lost.attempt().fingerprint().value())
-              .withEndpoint(lost.attempt().endpoint().value())
-              .withStartTimeMillis(lost.attempt().startTimeMillis());
+              .withEndpoint(lost.attempt().endpoint().id().value())
+              .withStartTimeMillis(lost.attempt().endpoint().startTimeMillis());
       case PeerMessage.RequestSurvived survived ->
           new WireRequestSurvived().withFingerprint(survived.fingerprint().value());
       case PeerMessage.RequestBlocks blocks ->
@@ -135,27 +135,26 @@
     };
   }
 
-  private static WireLeavingEndpoint toWire(LeavingEndpoint endpoint) {
+  private static WireLeavingEndpoint toWire(EndpointIncarnation endpoint) {
     return new WireLeavingEndpoint()
         .withId(endpoint.id().value())
         .withStartTimeMillis(endpoint.startTimeMillis());
   }
 
-  private static LeavingEndpoint fromWire(WireLeavingEndpoint endpoint) {
-    return new LeavingEndpoint(new EndpointId(endpoint.getId()), endpoint.getStartTimeMillis());
+  private static EndpointIncarnation fromWire(WireLeavingEndpoint endpoint) {
+    return new EndpointIncarnation(new EndpointId(endpoint.getId()), endpoint.getStartTimeMillis());
   }
 
   private static WireEndpointLimit toWire(EndpointLimit limit) {
     return new WireEndpointLimit()
-        .withId(limit.id().value())
-        .withStartTimeMillis(limit.startTimeMillis())
+        .withId(limit.endpoint().id().value())
+        .withStartTimeMillis(limit.endpoint().startTimeMillis())
         .withRequestsPerSecond(limit.requestsPerSecond().orElse(null));
   }
 
   private static EndpointLimit fromWire(WireEndpointLimit limit) {
     return new EndpointLimit(
-        new EndpointId(limit.getId()),
-        limit.getStartTimeMillis(),
+        new EndpointIncarnation(new EndpointId(limit.getId()), limit.getStartTimeMillis()),
         Optional.ofNullable(limit.getRequestsPerSecond()));
   }
 
@@ -263,8 +262,8 @@
           new PeerMessage.AttemptLost(
               new LostAttempt(
                   new RequestFingerprint(w.getFingerprint()),
-                  new EndpointId(w.getEndpoint()),
-                  w.getStartTimeMillis()));
+                  new EndpointIncarnation(
+                      new EndpointId(w.getEndpoint()), w.getStartTimeMillis())));
       case WireRequestSurvived w ->
           new PeerMessage.RequestSurvived(new RequestFingerprint(w.getFingerprint()));
       case WireRequestBlocks w ->
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
@@ -7,8 +7,8 @@
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberMessage;
 import org.mustardstage.core.permit.PermitMessage;
+import org.mustardstage.core.placement.EndpointIncarnation;
 import org.mustardstage.core.placement.EndpointLimit;
-import org.mustardstage.core.placement.LeavingEndpoint;
 import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
@@ -66,7 +66,7 @@
   }
 
   /** Tells which endpoints have said in a response that they are leaving. */
-  record EndpointsLeaving(List<LeavingEndpoint> endpoints) implements PeerMessage {
+  record EndpointsLeaving(List<EndpointIncarnation> endpoints) implements PeerMessage {
     /** Copies the list. */
     public EndpointsLeaving {
       endpoints = ImmutableList.copyOf(endpoints);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/CrashExchangeTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/CrashExchangeTest.java
@@ -22,6 +22,7 @@
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.placement.BlockedRequests;
+import org.mustardstage.core.placement.EndpointIncarnation;
 import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
@@ -156,7 +157,9 @@
       if (nowNanos - startedNanos < IN_TOUCH_AFTER_NANOS && run > 1) {
         uncountedNanos.add(nowNanos);
       }
-      LostAttempt lost = new LostAttempt(REQUEST, new EndpointId("i-" + crashNanos.size()), 1);
+      LostAttempt lost =
+          new LostAttempt(
+              REQUEST, new EndpointIncarnation(new EndpointId("i-" + crashNanos.size()), 1));
       int sentRun = run;
       after(
           LOSS_MILLIS,
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
@@ -26,8 +26,8 @@
 import org.mustardstage.core.member.MemberMessage;
 import org.mustardstage.core.permit.LimitId;
 import org.mustardstage.core.permit.PermitMessage;
+import org.mustardstage.core.placement.EndpointIncarnation;
 import org.mustardstage.core.placement.EndpointLimit;
-import org.mustardstage.core.placement.LeavingEndpoint;
 import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
@@ -79,13 +79,18 @@
                 new PeerMessage.ConfigObject("def", Optional.empty()))),
         new PeerMessage.Membership(new MemberMessage.Superseded(1_700_000_000_000L)),
         new PeerMessage.EndpointsLeaving(
-            List.of(new LeavingEndpoint(new EndpointId("i-1"), 1_700_000_000_000L))),
+            List.of(new EndpointIncarnation(new EndpointId("i-1"), 1_700_000_000_000L))),
         new PeerMessage.EndpointLimits(
             List.of(
-                new EndpointLimit(new EndpointId("i-1"), 1_700_000_000_000L, Optional.of(1.5)),
-                new EndpointLimit(new EndpointId("i-2"), 1_700_000_000_000L, Optional.empty()))),
+                new EndpointLimit(
+                    new EndpointIncarnation(new EndpointId("i-1"), 1_700_000_000_000L),
+                    Optional.of(1.5)),
+                new EndpointLimit(
+                    new EndpointIncarnation(new EndpointId("i-2"), 1_700_000_000_000L),
+                    Optional.empty()))),
         new PeerMessage.AttemptLost(
-            new LostAttempt(FINGERPRINT, new EndpointId("i-1"), 1_700_000_000_000L)),
+            new LostAttempt(
+                FINGERPRINT, new EndpointIncarnation(new EndpointId("i-1"), 1_700_000_000_000L))),
         new PeerMessage.RequestSurvived(FINGERPRINT),
         new PeerMessage.RequestBlocks(List.of(new RequestBlock(FINGERPRINT, 2, 600_000))),
         new PeerMessage.RowsRequest("ENDPOINTS", 2, 12),
