Keep the limit of an endpoint's present run when late news of its last one comes

A VM that had been cut off and told of the limit that the endpoint's earlier run had named replaced the limit of the present run, so the VMs that heard it sent to the endpoint freely until it told them again.

Limits are kept by the endpoint's run. The control thread had a second copy of them, for VMs that open a link, with the same fault and without an end; it now reads what the traffic thread publishes, and EndpointLimitExchange is gone.

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
@@ -1,5 +1,6 @@
 package org.mustardstage.core.placement;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -42,11 +43,10 @@
 
   private final LimitShares shares;
   private final Function<ZoneId, RegionId> regionOf;
-  private final Map<EndpointId, Limit> limits = new HashMap<>();
+  private final Map<EndpointIncarnation, Limit> limits = new HashMap<>();
 
   /** A limit in force. */
   private static final class Limit {
-    private final long startTimeMillis;
     private final TokenBucket bucket;
     private double requestsPerSecond;
     private long heardNanos;
@@ -56,8 +56,7 @@
 
     private long reportedNanos;
 
-    Limit(long nowNanos, long startTimeMillis) {
-      this.startTimeMillis = startTimeMillis;
+    Limit(long nowNanos) {
       this.bucket = new TokenBucket(nowNanos, 0, BURST_REQUESTS, /* initialTokens= */ 0);
     }
   }
@@ -100,7 +99,7 @@
 
   /** Returns whether this VM may send a request to {@code endpoint} now. */
   public boolean allowsRequest(long nowNanos, RegisteredEndpoint endpoint) {
-    Limit limit = find(endpoint);
+    Limit limit = limits.get(EndpointIncarnation.of(endpoint));
     if (limit == null) {
       return true;
     }
@@ -129,14 +128,9 @@
     return NANOS_PER_SECOND / trialsPerSecond;
   }
 
-  private Limit find(RegisteredEndpoint endpoint) {
-    Limit limit = limits.get(endpoint.id());
-    return limit != null && limit.startTimeMillis == endpoint.startTimeMillis() ? limit : null;
-  }
-
   /** Records that a request is sent to {@code endpoint}. */
   public void recordSent(long nowNanos, RegisteredEndpoint endpoint) {
-    Limit limit = find(endpoint);
+    Limit limit = limits.get(EndpointIncarnation.of(endpoint));
     if (limit == null) {
       return;
     }
@@ -168,7 +162,7 @@
         new EndpointLimit(
             EndpointIncarnation.of(endpoint), Optional.of(limited.requestsPerSecond()));
     boolean changed = put(nowNanos, named);
-    Limit limit = limits.get(endpoint.id());
+    Limit limit = limits.get(named.endpoint());
     if (!changed && nowNanos - limit.reportedNanos < REPORT_INTERVAL_NANOS) {
       return Optional.empty();
     }
@@ -178,30 +172,27 @@
 
   /** Ends the limit, unless the request was sent before the limit was last heard of. */
   private Optional<Report> recordEnd(long sentNanos, RegisteredEndpoint endpoint) {
-    Limit limit = find(endpoint);
+    EndpointIncarnation incarnation = EndpointIncarnation.of(endpoint);
+    Limit limit = limits.get(incarnation);
     if (limit == null || sentNanos - limit.heardNanos < 0) {
       return Optional.empty();
     }
-    limits.remove(endpoint.id());
+    limits.remove(incarnation);
     return Optional.of(
-        new Report(
-            new EndpointLimit(EndpointIncarnation.of(endpoint), Optional.empty()),
-            /* toAllRegions= */ true));
+        new Report(new EndpointLimit(incarnation, Optional.empty()), /* toAllRegions= */ true));
   }
 
   /** Stores a limit in force; returns whether it is new or has changed. */
   private boolean put(long nowNanos, EndpointLimit named) {
     limits.values().removeIf(limit -> nowNanos - limit.heardNanos > MEMORY_NANOS);
     double requestsPerSecond = named.requestsPerSecond().orElseThrow();
-    EndpointIncarnation endpoint = named.endpoint();
-    Limit known = limits.get(endpoint.id());
-    boolean isNew = known == null || known.startTimeMillis != endpoint.startTimeMillis();
-    Limit limit = isNew ? new Limit(nowNanos, endpoint.startTimeMillis()) : known;
-    boolean changed = isNew || limit.requestsPerSecond != requestsPerSecond;
+    Limit known = limits.get(named.endpoint());
+    Limit limit = known == null ? new Limit(nowNanos) : known;
+    boolean changed = known == null || limit.requestsPerSecond != requestsPerSecond;
     limit.requestsPerSecond = requestsPerSecond;
     limit.heardNanos = nowNanos;
     limit.trialsFromNanos = nowNanos + TRIAL_AFTER_NANOS;
-    limits.put(endpoint.id(), limit);
+    limits.put(named.endpoint(), limit);
     return changed;
   }
 
@@ -209,12 +200,17 @@
   public void applyReport(long nowNanos, EndpointLimit reported) {
     if (reported.requestsPerSecond().isPresent()) {
       put(nowNanos, reported);
-      return;
-    }
-    EndpointIncarnation endpoint = reported.endpoint();
-    Limit known = limits.get(endpoint.id());
-    if (known != null && known.startTimeMillis == endpoint.startTimeMillis()) {
-      limits.remove(endpoint.id());
+    } else {
+      limits.remove(reported.endpoint());
     }
   }
+
+  /** Returns the limits in force, which a VM that has just started must hear. */
+  public ImmutableSet<EndpointLimit> inForce() {
+    return limits.entrySet().stream()
+        .map(
+            entry ->
+                new EndpointLimit(entry.getKey(), Optional.of(entry.getValue().requestsPerSecond)))
+        .collect(ImmutableSet.toImmutableSet());
+  }
 }
--- a/core/src/test/java/org/mustardstage/core/placement/EndpointLimitsTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/EndpointLimitsTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
 
 /**
  * Guards against VMs that together send an endpoint more than it takes, and against an endpoint
@@ -123,6 +124,31 @@
     assertThat(simulation.countByPermission(), is(Map.of(true, 30)));
   }
 
+  /** A VM that was cut off tells of the limit that the endpoint's earlier run had named. */
+  @Test
+  void lateNewsOfAnEarlierRunDoesNotEndTheLimitOfTheLaterOne() {
+    RegisteredEndpoint earlier =
+        PlacementFixtures.endpoint("limited", PlacementFixtures.OWN_ZONE, 9, 1);
+    RegisteredEndpoint later =
+        PlacementFixtures.endpoint("limited", PlacementFixtures.OWN_ZONE, 9, 2);
+    EndpointLimits limits = PlacementFixtures.endpointLimits();
+    limits.applyReport(0, limit(later, Optional.of(1.0)));
+
+    limits.applyReport(0, limit(earlier, Optional.of(1.0)));
+    assertThat(limits.allowsRequest(1, later), is(false));
+
+    limits.applyReport(0, limit(earlier, Optional.empty()));
+    assertThat(limits.allowsRequest(1, later), is(false));
+
+    limits.applyReport(0, limit(later, Optional.empty()));
+    assertThat(limits.allowsRequest(1, later), is(true));
+  }
+
+  private static EndpointLimit limit(
+      RegisteredEndpoint endpoint, Optional<Double> requestsPerSecond) {
+    return new EndpointLimit(EndpointIncarnation.of(endpoint), requestsPerSecond);
+  }
+
   /** The VMs try one after another, so that the trials themselves stay within the limit. */
   @Test
   void trialsOfVmsThatHearNothingStayWithinTheLimit() {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -33,6 +33,8 @@
 import org.mustardstage.core.placement.SchedulerRequest;
 import org.mustardstage.core.placement.ServiceScheduler;
 import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.entry.log.Event;
+import org.mustardstage.entry.log.EventLog;
 
 /**
  * Places requests by the schedulers of all services on this VM. Used on the traffic thread only, so
@@ -56,6 +58,7 @@
   private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
   private final Map<Long, Pending> pending = new HashMap<>();
   private final EndpointLimits endpointLimits;
+  private volatile ImmutableSet<EndpointLimit> limitsInForce = ImmutableSet.of();
   private Optional<MemberView> members = Optional.empty();
   private Consumer<RegisteredEndpoint> leavingListener = endpoint -> {};
   private Consumer<EndpointLimits.Report> limitListener = report -> {};
@@ -98,10 +101,18 @@
     limitListener = listener;
   }
 
+  /** Returns the limits in force; may be called on any thread. */
+  ImmutableSet<EndpointLimit> limitsInForce() {
+    return limitsInForce;
+  }
+
   /** Applies the limits that another VM has heard endpoints name. */
   void applyLimits(List<EndpointLimit> limits) {
     long nowNanos = clock.getAsLong();
-    limits.forEach(limit -> endpointLimits.applyReport(nowNanos, limit));
+    for (EndpointLimit limit : limits) {
+      endpointLimits.applyReport(nowNanos, limit);
+      publishLimits(limit, "another VM");
+    }
     processQueues();
   }
 
@@ -246,7 +257,27 @@
     Optional<EndpointLimits.Report> report =
         endpointLimits.recordResponse(
             nowNanos, nowNanos - result.elapsedNanos(), endpoint, result.notice().limit());
-    report.ifPresent(limitListener);
+    report.ifPresent(
+        told -> {
+          publishLimits(told.limit(), "its response");
+          limitListener.accept(told);
+        });
+  }
+
+  private void publishLimits(EndpointLimit latest, String source) {
+    ImmutableSet<EndpointLimit> inForce = endpointLimits.inForce();
+    if (inForce.equals(limitsInForce)) {
+      return;
+    }
+    limitsInForce = inForce;
+    EventLog.log(
+        Event.ENDPOINT_LIMIT_CHANGED,
+        "endpoint",
+        latest.endpoint().id(),
+        "requestsPerSecond",
+        latest.requestsPerSecond().map(Object::toString).orElse("unlimited"),
+        "why",
+        source);
   }
 
   private void startTicking() {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -77,7 +78,6 @@
   private final TableReplica operatorTable;
   private final TableReplica endpointTable;
   private final RowReplicator rowReplicator;
-  private final EndpointLimitExchange limitExchange;
   private final CrashExchange crashExchange;
   private final long createdNanos = System.nanoTime();
   private final StateListener stateListener;
@@ -101,6 +101,9 @@
     /** Called when another VM has told which limits endpoints named, or ended. */
     void onEndpointLimits(List<EndpointLimit> limits);
 
+    /** Returns the limits of endpoints in force; unlike the others, not an event. */
+    ImmutableSet<EndpointLimit> limitsInForce();
+
     /** Called when requests are blocked, as they have ended several endpoints. */
     void onRequestBlocks(List<RequestBlock> blocks);
   }
@@ -160,15 +163,20 @@
                 PlatformAdapter.Table.ENDPOINTS,
                 endpointTable),
             network::send);
-    this.limitExchange =
-        new EndpointLimitExchange(self.vm(), network::send, stateListener::onEndpointLimits);
     this.crashExchange =
         new CrashExchange(self.vm(), clock, network::send, stateListener::onRequestBlocks);
   }
 
   /** Tells the other VMs which limit an endpoint named in a response, or that it named none. */
   void onEndpointLimit(EndpointLimits.Report report) {
-    eventloop.execute(() -> limitExchange.tell(memberView.get(), report));
+    eventloop.execute(
+        () -> {
+          PeerMessage message = new PeerMessage.EndpointLimits(ImmutableList.of(report.limit()));
+          memberView.get().alive().stream()
+              .filter(member -> !member.vm().equals(settings.vm()))
+              .filter(member -> report.toAllRegions() || member.region().equals(settings.region()))
+              .forEach(member -> network.send(member, message));
+        });
   }
 
   @Override
@@ -452,10 +460,17 @@
     public void onHello(Member from) {
       execute(membership.addPeer(clock.getAsLong(), from));
       sendLeavingEndpoints(from);
-      limitExchange.onHello(from);
+      sendLimits(from);
       crashExchange.onHello(from);
     }
 
+    private void sendLimits(Member to) {
+      ImmutableSet<EndpointLimit> limits = stateListener.limitsInForce();
+      if (!limits.isEmpty()) {
+        network.send(to, new PeerMessage.EndpointLimits(limits.asList()));
+      }
+    }
+
     /** Tells a VM that may have just started what no row of the store says. */
     private void sendLeavingEndpoints(Member to) {
       ImmutableList<EndpointIncarnation> leavingEndpoints = deployment.leavingEndpoints();
@@ -475,7 +490,7 @@
             rowReplicator.onRowsKnown(clock.getAsLong(), from, known);
         case PeerMessage.EndpointsLeaving endpoints ->
             deployment.markLeaving(endpoints.endpoints());
-        case PeerMessage.EndpointLimits limits -> limitExchange.onMessage(limits.limits());
+        case PeerMessage.EndpointLimits limits -> stateListener.onEndpointLimits(limits.limits());
         case PeerMessage.AttemptLost lost ->
             crashExchange.onAttemptLost(memberView.get(), from, lost.attempt());
         case PeerMessage.RequestSurvived survived ->
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpResponse;
@@ -156,6 +157,11 @@
     eventloop.execute(() -> dispatcher.setMembers(view));
   }
 
+  @Override
+  public ImmutableSet<EndpointLimit> limitsInForce() {
+    return dispatcher.limitsInForce();
+  }
+
   @Override
   public void onEndpointLimits(List<EndpointLimit> limits) {
     eventloop.execute(() -> dispatcher.applyLimits(limits));
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -161,6 +161,11 @@
     @Override
     public void onEndpointLimits(List<EndpointLimit> limits) {}
 
+    @Override
+    public ImmutableSet<EndpointLimit> limitsInForce() {
+      return ImmutableSet.of();
+    }
+
     @Override
     public void onRequestBlocks(List<RequestBlock> blocks) {}
 
