--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
 import org.mustardstage.core.gateway.CallerLimits;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
@@ -45,6 +46,9 @@
   /** The header by which endpoints name the requests per second that they take. */
   static final String LIMIT_HEADER = "Server-Limit";
 
+  /** Paths below this one are for requests that are not idempotent. */
+  static final String ONCE_PREFIX = "/once/";
+
   private final List<RegisteredEndpoint> endpoints;
   private final boolean linked;
   private final List<GatewayProcess> vms = new ArrayList<>();
@@ -63,6 +67,16 @@
 
   /** Starts one more VM, which knows the peer address of the first one. */
   void startVm() throws IOException {
+    startVm(UnaryOperator.identity());
+  }
+
+  /**
+   * Starts one more VM.
+   *
+   * @param addressOfEndpoint maps the address of each endpoint to the one by which this VM reaches
+   *     it
+   */
+  void startVm(UnaryOperator<HostAndPort> addressOfEndpoint) throws IOException {
     HostAndPort callers = TestPorts.freeAddress();
     HostAndPort peers = TestPorts.freeAddress();
     int number = vms.size() + 1;
@@ -86,7 +100,7 @@
             new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
             420,
             "info");
-    GatewayProcess vm = new GatewayProcess(settings, new Adapter(), 1);
+    GatewayProcess vm = new GatewayProcess(settings, new Adapter(addressOfEndpoint), 1);
     vm.start();
     vms.add(vm);
     callerAddresses.add(callers);
@@ -104,23 +118,27 @@
   }
 
   private GatewayConfig config() {
-    RoutingRule rule =
-        new RoutingRule(
-            "all",
-            "/",
-            /* idempotent= */ true,
-            500,
-            1,
-            true,
-            List.of(new WeightedService(SERVICE, 1)),
-            2_000,
-            3,
-            ImmutableSet.of());
+    RoutingRule all = rule("all", "/", /* idempotent= */ true);
+    RoutingRule once = rule("once", ONCE_PREFIX, /* idempotent= */ false);
     return new GatewayConfig(
         new ConfigVersion(1),
         new CallerLimits(16_384, 1 << 20, 3_000, 15_000),
         List.of(new ServiceSpec(SERVICE, "/health", 700, 3_000, 17)),
-        Map.of("127.0.0.1", List.of(rule)));
+        Map.of("127.0.0.1", List.of(all, once)));
+  }
+
+  private static RoutingRule rule(String name, String prefix, boolean idempotent) {
+    return new RoutingRule(
+        name,
+        prefix,
+        idempotent,
+        500,
+        1,
+        true,
+        List.of(new WeightedService(SERVICE, 1)),
+        2_000,
+        3,
+        ImmutableSet.of());
   }
 
   private final class Store implements RowStore {
@@ -146,6 +164,12 @@
   }
 
   private final class Adapter implements PlatformAdapter {
+    private final UnaryOperator<HostAndPort> addressOfEndpoint;
+
+    Adapter(UnaryOperator<HostAndPort> addressOfEndpoint) {
+      this.addressOfEndpoint = addressOfEndpoint;
+    }
+
     @Override
     public HeaderNames headerNames() {
       return GatewayTestBed.HEADER_NAMES;
@@ -172,9 +196,22 @@
           endpoints.stream()
               .filter(endpoint -> endpoint.id().value().equals(key))
               .findFirst()
+              .map(this::asReached)
               .orElseThrow());
     }
 
+    private RegisteredEndpoint asReached(RegisteredEndpoint endpoint) {
+      return new RegisteredEndpoint(
+          endpoint.id(),
+          endpoint.service(),
+          addressOfEndpoint.apply(endpoint.address()),
+          endpoint.zone(),
+          endpoint.slots(),
+          endpoint.draining(),
+          endpoint.coldRemainingMillis(),
+          endpoint.startTimeMillis());
+    }
+
     @Override
     public AsyncServlet readinessServlet(Eventloop eventloop, GatewayStatus status) {
       return request -> HttpResponse.ok200().toPromise();
