Log when a VM opens no connection to any endpoint, and how connections fail

EndpointReachability judges it by new connections alone, as old ones may live on; a suspicion is confirmed by probes in other zones. Nothing acts on it yet.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
@@ -1,6 +1,7 @@
 package org.mustardstage.entry.gateway;
 
 import com.google.common.primitives.Ints;
+import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
@@ -84,23 +85,39 @@
     long startedNanos = System.nanoTime();
     Exchange first = new Exchange(requestId, /* idleNanos= */ 0);
     exchange = Optional.of(first);
-    TcpSocket.connect(reactor, address, connectTimeout, null)
-        .whenResult(connected -> onConnected(connected, startedNanos, first, withoutBody, request))
-        .whenException(e -> fail(ConnectionFailure.CONNECT_FAILED));
+    connect(connectTimeout)
+        .whenResult(
+            () -> {
+              if (!closed) {
+                connectNanos = OptionalLong.of(System.nanoTime() - startedNanos);
+                write(first, withoutBody, request);
+              }
+            });
     return first.result;
   }
 
-  private void onConnected(
-      TcpSocket connected, long startedNanos, Exchange first, boolean withoutBody, byte[] request) {
+  /** Opens the connection without a request; the promise fails if that is not possible. */
+  Promise<Void> connect(Duration connectTimeout) {
+    return TcpSocket.connect(reactor, address, connectTimeout, null)
+        .whenResult(this::onConnected)
+        .whenException(e -> fail(connectFailure(e)))
+        .toVoid();
+  }
+
+  private static ConnectionFailure connectFailure(Exception e) {
+    return e instanceof AsyncTimeoutException
+        ? ConnectionFailure.CONNECT_TIMED_OUT
+        : ConnectionFailure.CONNECT_REFUSED;
+  }
+
+  private void onConnected(TcpSocket connected) {
     if (closed) {
       connected.close();
       return;
     }
     openedNanos = OptionalLong.of(System.nanoTime());
-    connectNanos = OptionalLong.of(openedNanos.getAsLong() - startedNanos);
     socket = Optional.of(connected);
     read();
-    write(first, withoutBody, request);
   }
 
   /** Sends a request over this connection, which must be idle. */
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
@@ -1,7 +1,11 @@
 package org.mustardstage.entry.gateway;
 
+import com.google.common.collect.ImmutableList;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -38,6 +42,7 @@
   private final Map<HostAndPort, AddressPool> pools = new HashMap<>();
   private final BufferBudget<EndpointConnection> responseBuffers;
   private final IdleConnectionLimits idleLimits = new IdleConnectionLimits();
+  private long lastResponseNanos = Long.MIN_VALUE / 2;
 
   private static final class AddressPool {
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
@@ -89,10 +94,15 @@
    * longest idle one for it, or returns empty if none is idle.
    */
   Optional<EndpointConnection> create(HostAndPort address, int maxOpen) {
-    AddressPool pool = pools.computeIfAbsent(address, key -> new AddressPool());
-    if (pool.open.size() >= maxOpen && !closeOldestIdle(pool)) {
+    AddressPool pool = pools.get(address);
+    if (pool != null && pool.open.size() >= maxOpen && !closeOldestIdle(pool)) {
       return Optional.empty();
     }
+    return Optional.of(create(address));
+  }
+
+  private EndpointConnection create(HostAndPort address) {
+    AddressPool pool = pools.computeIfAbsent(address, key -> new AddressPool());
     EndpointConnection[] self = new EndpointConnection[1];
     self[0] =
         new EndpointConnection(
@@ -102,7 +112,28 @@
             responseBuffers,
             () -> pool.open.remove(self[0]));
     pool.open.add(self[0]);
-    return Optional.of(self[0]);
+    return self[0];
+  }
+
+  /**
+   * Opens a connection to {@code address} that no request waits for and keeps it for the next one.
+   * Completes with whether it is still open after {@code holdMillis}, as a connection may be reset
+   * as soon as it is open.
+   */
+  Promise<Boolean> openIdle(HostAndPort address, Duration connectTimeout, long holdMillis) {
+    EndpointConnection connection = create(address);
+    return connection
+        .connect(connectTimeout)
+        .then(() -> Promises.delay(holdMillis))
+        .then(
+            (opened, e) -> {
+              AddressPool pool = pools.get(address);
+              boolean open = e == null && pool != null && connection.isIdle();
+              if (open) {
+                pool.idle.addFirst(connection);
+              }
+              return Promise.of(open);
+            });
   }
 
   private static boolean closeOldestIdle(AddressPool pool) {
@@ -120,6 +151,11 @@
     return pool == null ? Long.MIN_VALUE / 2 : pool.lastResponseNanos;
   }
 
+  /** Returns when a response from any address to any request of this thread last arrived. */
+  long lastResponseNanos() {
+    return lastResponseNanos;
+  }
+
   /**
    * Returns whether a connection to {@code address} that was open at {@code nanos} still is, so the
    * process there has not ended since.
@@ -132,8 +168,9 @@
   /** Returns a connection to the pool after a response; closes it if it can't be reused. */
   void release(HostAndPort address, EndpointConnection connection) {
     AddressPool pool = pools.get(address);
+    lastResponseNanos = System.nanoTime();
     if (pool != null) {
-      pool.lastResponseNanos = System.nanoTime();
+      pool.lastResponseNanos = lastResponseNanos;
     }
     if (pool == null || !connection.isIdle()) {
       connection.close();
@@ -182,6 +219,13 @@
     }
   }
 
+  /** Closes all connections that have no request in flight. */
+  void closeAllIdle() {
+    for (HostAndPort address : ImmutableList.copyOf(pools.keySet())) {
+      closeIdle(address);
+    }
+  }
+
   /** Records that {@code connection} was reset by its first request after an idle period. */
   void recordIdleReset(HostAndPort address, EndpointConnection connection) {
     idleLimits.recordReset(System.nanoTime(), address, connection.idleMillis());
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
@@ -0,0 +1,151 @@
+package org.mustardstage.entry.gateway;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.activej.reactor.nio.NioReactor;
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.placement.EndpointReachability;
+import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.entry.log.Event;
+import org.mustardstage.entry.log.EventLog;
+
+/**
+ * Notices when this VM is cut off from all endpoints, and when the cut ends. Opens connections to
+ * endpoints while it is uncertain, or cut off. Used on the traffic thread only.
+ */
+final class EndpointLinkMonitor {
+  private static final long PROBE_CHECK_INTERVAL_MILLIS = 50;
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
+
+  /** By then, a connection that is reset as soon as it is open is closed. */
+  private static final long PROBE_HOLD_MILLIS = 50;
+
+  /** Old connections still work if a response arrived on one this recently. */
+  private static final long LIVE_CONNECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+  private final NioReactor reactor;
+  private final EndpointConnectionPool connections;
+  private final EndpointReachability reachability = new EndpointReachability();
+  private final Set<Listener> listeners = new LinkedHashSet<>();
+  private long cutOffNanos;
+  private boolean probing;
+
+  /** Hears of the cut. */
+  interface Listener {
+    /** Called when this VM is cut off from all endpoints. */
+    void onCutOff();
+
+    /** Called when the cut has ended. */
+    void onReachedAgain();
+  }
+
+  EndpointLinkMonitor(NioReactor reactor, EndpointConnectionPool connections) {
+    this.reactor = reactor;
+    this.connections = connections;
+  }
+
+  void addListener(Listener listener) {
+    listeners.add(listener);
+  }
+
+  void removeListener(Listener listener) {
+    listeners.remove(listener);
+  }
+
+  /** Replaces the endpoints that are usable, by service. */
+  void setEndpoints(ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> usable) {
+    update(
+        () ->
+            reachability.setEndpoints(
+                usable.values().stream()
+                    .flatMap(List::stream)
+                    .map(UsableEndpoint::endpoint)
+                    .toList()));
+  }
+
+  boolean isCutOff() {
+    return reachability.isCutOff();
+  }
+
+  /** Returns whether connections that were opened before the cut still bring responses. */
+  boolean hasLiveConnections() {
+    return System.nanoTime() - connections.lastResponseNanos() < LIVE_CONNECTION_NANOS;
+  }
+
+  /** Records that an endpoint responded on a new connection. */
+  void recordConnected() {
+    update(reachability::recordConnected);
+  }
+
+  /** Records that a new connection failed, or was lost before any response. */
+  void recordConnectFailed(RegisteredEndpoint endpoint) {
+    update(() -> reachability.recordConnectFailed(System.nanoTime(), endpoint.id()));
+  }
+
+  /** Records that the response to a request that was sent at {@code sentNanos} is overdue. */
+  void recordOverdue(long sentNanos) {
+    if (connections.lastResponseNanos() - sentNanos < 0) {
+      update(reachability::recordSilence);
+    }
+  }
+
+  private void update(Runnable change) {
+    boolean wasCutOff = reachability.isCutOff();
+    change.run();
+    boolean isCutOff = reachability.isCutOff();
+    if (isCutOff && !wasCutOff) {
+      cutOffNanos = System.nanoTime();
+      EventLog.log(
+          Event.ENDPOINTS_CUT_OFF,
+          "triedEndpoints",
+          reachability.failedEndpoints(),
+          "lastResponseMillisAgo",
+          elapsedMillis(connections.lastResponseNanos()));
+      ImmutableList.copyOf(listeners).forEach(Listener::onCutOff);
+    }
+    if (!isCutOff && wasCutOff) {
+      EventLog.log(Event.ENDPOINTS_REACHED_AGAIN, "cutOffMillis", elapsedMillis(cutOffNanos));
+      ImmutableList.copyOf(listeners).forEach(Listener::onReachedAgain);
+    }
+    startProbing();
+  }
+
+  private static long elapsedMillis(long sinceNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+  }
+
+  private void startProbing() {
+    if (!probing && reachability.state() != EndpointReachability.State.REACHABLE) {
+      probing = true;
+      probe();
+    }
+  }
+
+  private void probe() {
+    if (reachability.state() == EndpointReachability.State.REACHABLE) {
+      probing = false;
+      return;
+    }
+    reachability.takeProbes(System.nanoTime()).forEach(this::probe);
+    reactor.delayBackground(PROBE_CHECK_INTERVAL_MILLIS, this::probe);
+  }
+
+  private void probe(RegisteredEndpoint endpoint) {
+    connections
+        .openIdle(endpoint.address(), PROBE_TIMEOUT, PROBE_HOLD_MILLIS)
+        .whenResult(
+            open -> {
+              if (open) {
+                recordConnected();
+              } else {
+                recordConnectFailed(endpoint);
+              }
+            });
+  }
+}
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -55,6 +55,7 @@
   private final Dispatcher dispatcher;
   private final CallerConnections callerConnections;
   private final EndpointConnectionPool endpointConnections;
+  private final EndpointLinkMonitor linkMonitor;
   private final GatewayServlet servlet;
   private final CrashGuard crashGuard = new CrashGuard();
   private final HttpServer callerServer;
@@ -83,6 +84,7 @@
     this.endpointConnections =
         new EndpointConnectionPool(
             eventloop, headerNames, (long) (RESPONSE_BUFFERS_HEAP_SHARE * heapBytes));
+    this.linkMonitor = new EndpointLinkMonitor(eventloop, endpointConnections);
     this.callerConnections =
         new CallerConnections(
             eventloop, TrafficSettings.defaults(settings.callerAddress()), new AtomicInteger());
@@ -92,6 +94,7 @@
             () -> config,
             dispatcher,
             endpointConnections,
+            linkMonitor,
             headerNames,
             () -> rejectsNewRequests,
             crashGuard,
@@ -149,7 +152,11 @@
 
   @Override
   public void onEndpoints(ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> usable) {
-    eventloop.execute(() -> dispatcher.setEndpoints(usable));
+    eventloop.execute(
+        () -> {
+          linkMonitor.setEndpoints(usable);
+          dispatcher.setEndpoints(usable);
+        });
   }
 
   @Override
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -39,6 +39,7 @@
   private final Supplier<Optional<GatewayConfig>> config;
   private final Placer placer;
   private final EndpointConnectionPool connections;
+  private final EndpointLinkMonitor linkMonitor;
   private final HeaderNames headerNames;
   private final BooleanSupplier rejectsNewRequests;
   private final CrashGuard crashGuard;
@@ -53,6 +54,7 @@
       Supplier<Optional<GatewayConfig>> config,
       Placer placer,
       EndpointConnectionPool connectionPool,
+      EndpointLinkMonitor linkMonitor,
       HeaderNames headerNames,
       BooleanSupplier rejectsNewRequests,
       CrashGuard crashGuard,
@@ -62,6 +64,7 @@
     this.config = config;
     this.placer = placer;
     this.connections = connectionPool;
+    this.linkMonitor = linkMonitor;
     this.headerNames = headerNames;
     this.rejectsNewRequests = rejectsNewRequests;
     this.crashGuard = crashGuard;
@@ -136,7 +139,8 @@
   private Promise<HttpResponse> execute(
       CallerRequest request, CallerConnection connection, GatewayConfig activeConfig) {
     RequestExecution execution =
-        new RequestExecution(reactor, placer, connections, crashGuard, headerNames, request);
+        new RequestExecution(
+            reactor, placer, connections, linkMonitor, crashGuard, headerNames, request);
     connection.setDisconnectHandler(execution::onCallerDisconnected);
     return execution
         .start()
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -43,6 +43,9 @@
 
   private static final long MIN_HEDGE_DELAY_MILLIS = 500;
 
+  /** Multiple of the expected response time after which a response is overdue. */
+  private static final double OVERDUE_FACTOR = 1.5;
+
   /** Why a request is rejected that has ended several endpoints; sent to callers and logged. */
   private static final String CRASHES_ENDPOINTS = "CRASHES_ENDPOINTS";
 
@@ -54,6 +57,7 @@
   private final NioReactor reactor;
   private final Placer placer;
   private final EndpointConnectionPool connections;
+  private final EndpointLinkMonitor linkMonitor;
   private final CrashGuard crashGuard;
   private final LostAttempts lostAttempts;
 
@@ -81,6 +85,7 @@
     private final EndpointConnection connection;
     private final long startedNanos = System.nanoTime();
     private Optional<ScheduledRunnable> hedgeTimer = Optional.empty();
+    private Optional<ScheduledRunnable> overdueTimer = Optional.empty();
     private boolean hedged;
 
     Attempt(PlacementDecision.Placed placed, EndpointConnection connection) {
@@ -88,12 +93,17 @@
       this.connection = connection;
     }
 
+    boolean isOnNewConnection() {
+      return connection.connectNanos().isPresent();
+    }
+
     void finish(Status status) {
       finish(status, EndpointReport.NONE);
     }
 
     void finish(Status status, EndpointReport report) {
       hedgeTimer.ifPresent(ScheduledRunnable::cancel);
+      overdueTimer.ifPresent(ScheduledRunnable::cancel);
       long elapsedNanos = System.nanoTime() - startedNanos;
       Optional<Long> connectNanos =
           connection.connectNanos().isPresent()
@@ -111,12 +121,14 @@
       NioReactor reactor,
       Placer placer,
       EndpointConnectionPool connectionPool,
+      EndpointLinkMonitor linkMonitor,
       CrashGuard crashGuard,
       HeaderNames headerNames,
       CallerRequest request) {
     this.reactor = reactor;
     this.placer = placer;
     this.connections = connectionPool;
+    this.linkMonitor = linkMonitor;
     this.crashGuard = crashGuard;
     this.headerNames = headerNames;
     this.request = request;
@@ -240,9 +252,19 @@
     Attempt current = new Attempt(placed, connection);
     attemptsInFlight.add(current);
     scheduleHedge(current);
+    scheduleOverdueCheck(current);
     response.whenResult(result -> onAttemptResult(current, result));
   }
 
+  private void scheduleOverdueCheck(Attempt current) {
+    long expectedMillis = TimeUnit.NANOSECONDS.toMillis(current.placed.expectedResponseNanos());
+    current.overdueTimer =
+        Optional.of(
+            reactor.delayBackground(
+                Math.max(MIN_HEDGE_DELAY_MILLIS, (long) (OVERDUE_FACTOR * expectedMillis)),
+                () -> linkMonitor.recordOverdue(current.startedNanos)));
+  }
+
   private void scheduleHedge(Attempt current) {
     if (!request.rule().idempotent() || sentAttempts >= request.rule().maxAttempts()) {
       return;
@@ -285,7 +307,9 @@
       return;
     }
     switch (result.getLeft()) {
-      case CONNECT_FAILED -> {
+      case CONNECT_REFUSED, CONNECT_TIMED_OUT -> {
+        trace.add(current.placed.endpoint().id() + ":" + result.getLeft());
+        linkMonitor.recordConnectFailed(current.placed.endpoint());
         current.finish(Status.UNREACHABLE);
         sentAttempts--;
         failedConnects++;
@@ -322,11 +346,17 @@
 
   private void recordLost(Attempt current, String how) {
     RegisteredEndpoint endpoint = current.placed.endpoint();
+    if (current.isOnNewConnection()) {
+      linkMonitor.recordConnectFailed(endpoint);
+    }
     trace.add(endpoint.id() + ":" + how);
     lostAttempts.record(endpoint);
   }
 
   private void onResponse(Attempt current, EndpointResponse response) {
+    if (current.isOnNewConnection()) {
+      linkMonitor.recordConnected();
+    }
     EndpointReport report = EndpointReport.read(response, headerNames);
     boolean notRun =
         response.headers().has(headerNames.notExecuted())
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -70,6 +70,10 @@
   ENDPOINTS_LOADED(54, Level.INFO),
   /** An endpoint named a limit on its requests, changed it or ended it. */
   ENDPOINT_LIMIT_CHANGED(55, Level.INFO),
+  /** This VM opens no connection to any endpoint any more. */
+  ENDPOINTS_CUT_OFF(56, Level.WARN),
+  /** This VM opens connections to endpoints again. */
+  ENDPOINTS_REACHED_AGAIN(57, Level.INFO),
   /** A request has its outcome. */
   REQUEST_ENDED(60, Level.INFO),
   /** Attempts of a request ended because their connections were lost. */
