Judge links by when connections were begun, and relaying VMs by their heartbeats

A relayed request is now given up when its VM is believed dead, or after 2 s and three objectives without any response from it. By reading: a connection from before the cut that brings a response counted as a link that works, and one begun during the cut that times out after it as a failure. Both now count by when they were begun (two tests of EndpointReachabilityTest).

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointReachability.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointReachability.java
@@ -49,10 +49,15 @@
     CUT_OFF
   }
 
+  /** When the last connection to each endpoint was begun that failed; only what still counts. */
   private final Map<EndpointId, Long> failureNanos = new HashMap<>();
+
   private ImmutableList<RegisteredEndpoint> probeOrder = ImmutableList.of();
   private Map<EndpointId, ZoneId> zones = Map.of();
   private State state = State.REACHABLE;
+  private long lastConnectedNanos = Long.MIN_VALUE / 2;
+  private boolean suspected;
+  private long suspicionNanos;
   private int nextProbe;
   private long lastProbeNanos = Long.MIN_VALUE / 2;
 
@@ -62,9 +67,7 @@
     endpoints.forEach(endpoint -> zones.put(endpoint.id(), endpoint.zone()));
     failureNanos.keySet().retainAll(zones.keySet());
     probeOrder = alternateZones(endpoints);
-    if (zones.isEmpty()) {
-      state = State.REACHABLE;
-    }
+    updateState();
   }
 
   /** Returns the endpoints in an order in which neighbors are in different zones. */
@@ -98,27 +101,49 @@
     return failureNanos.size();
   }
 
-  /** Records that a new connection to an endpoint works. */
-  public void recordConnected() {
-    failureNanos.clear();
-    state = State.REACHABLE;
+  /**
+   * Returns whether a connection works that was begun after {@code nanos}, so that what failed
+   * before was not the fault of this VM's links.
+   */
+  public boolean hasConnectedSince(long nanos) {
+    return lastConnectedNanos - nanos > 0;
   }
 
-  /** Records that a new connection to an endpoint could not be opened. */
-  public void recordConnectFailed(long nowNanos, EndpointId endpoint) {
-    if (!zones.containsKey(endpoint)) {
+  /** Records that a new connection to an endpoint works, which was begun at {@code begunNanos}. */
+  public void recordConnected(long begunNanos) {
+    if (begunNanos - lastConnectedNanos <= 0) {
       return;
     }
-    if (state != State.CUT_OFF) {
-      failureNanos.values().removeIf(nanos -> nowNanos - nanos > EVIDENCE_NANOS);
+    lastConnectedNanos = begunNanos;
+    failureNanos.values().removeIf(nanos -> nanos - begunNanos <= 0);
+    suspected &= suspicionNanos - begunNanos > 0;
+    updateState();
+  }
+
+  /**
+   * Records that a new connection to an endpoint could not be opened, which was begun at {@code
+   * begunNanos}. It says nothing if one that was begun later works.
+   */
+  public void recordConnectFailed(long begunNanos, EndpointId endpoint) {
+    if (!zones.containsKey(endpoint) || begunNanos - lastConnectedNanos <= 0) {
+      return;
     }
-    failureNanos.put(endpoint, nowNanos);
-    if (failureNanos.size() >= Math.min(MIN_FAILED_ENDPOINTS, zones.size())
-        && failedZones().size() >= Math.min(MIN_FAILED_ZONES, Set.copyOf(zones.values()).size())) {
-      state = State.CUT_OFF;
-    } else if (state == State.REACHABLE && failureNanos.size() >= SUSPICIOUS_ENDPOINTS) {
-      state = State.SUSPECTED;
+    if (state != State.CUT_OFF) {
+      failureNanos.values().removeIf(nanos -> begunNanos - nanos > EVIDENCE_NANOS);
     }
+    failureNanos.put(endpoint, begunNanos);
+    updateState();
+  }
+
+  private void updateState() {
+    boolean isCutOff =
+        !zones.isEmpty()
+            && failureNanos.size() >= Math.min(MIN_FAILED_ENDPOINTS, zones.size())
+            && failedZones().size()
+                >= Math.min(MIN_FAILED_ZONES, Set.copyOf(zones.values()).size());
+    boolean isSuspected =
+        !zones.isEmpty() && (suspected || failureNanos.size() >= SUSPICIOUS_ENDPOINTS);
+    state = isCutOff ? State.CUT_OFF : isSuspected ? State.SUSPECTED : State.REACHABLE;
   }
 
   private Set<ZoneId> failedZones() {
@@ -131,10 +156,10 @@
    * Records something that a broken link or an endpoint may have caused: a response that is overdue
    * while no endpoint responds to anything, or a connection that was lost.
    */
-  public void recordSuspicion() {
-    if (state == State.REACHABLE && !zones.isEmpty()) {
-      state = State.SUSPECTED;
-    }
+  public void recordSuspicion(long nowNanos) {
+    suspected = true;
+    suspicionNanos = nowNanos;
+    updateState();
   }
 
   /**
--- a/core/src/main/java/org/mustardstage/core/placement/RelaySelector.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RelaySelector.java
@@ -1,6 +1,7 @@
 package org.mustardstage.core.placement;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,7 @@
   private final Map<VmId, Long> failedNanos = new HashMap<>();
   private Optional<Member> selfMember = Optional.empty();
   private ImmutableList<Member> candidates = ImmutableList.of();
+  private ImmutableSet<VmId> aliveVms = ImmutableSet.of();
 
   /** Creates a selector that knows no VM yet. */
   public RelaySelector(VmId self, RandomGenerator random) {
@@ -43,6 +45,11 @@
   /** Replaces the view of the VMs. */
   public void setMembers(MemberView view) {
     selfMember = Optional.of(view.self());
+    aliveVms =
+        view.statuses().stream()
+            .filter(status -> status.liveness() == MemberStatus.Liveness.ALIVE)
+            .map(status -> status.member().vm())
+            .collect(ImmutableSet.toImmutableSet());
     candidates =
         LargeVmSelector.selectPerZone(
             view.statuses().stream()
@@ -73,6 +80,11 @@
     return lessLoadedOfTwo(inOwnRegion.isEmpty() ? allowed : inOwnRegion);
   }
 
+  /** Returns whether a VM is neither dead nor suspected, so that a relayed request may go on. */
+  public boolean isAlive(VmId vm) {
+    return aliveVms.contains(vm);
+  }
+
   private Optional<Member> lessLoadedOfTwo(List<Member> members) {
     if (members.isEmpty()) {
       return Optional.empty();
--- a/core/src/test/java/org/mustardstage/core/placement/EndpointReachabilityTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/EndpointReachabilityTest.java
@@ -67,7 +67,7 @@
       for (RegisteredEndpoint probed : reachability.takeProbes(nowNanos)) {
         probes++;
         if (reachableZones.contains(probed.zone().value())) {
-          reachability.recordConnected();
+          reachability.recordConnected(nowNanos);
         } else {
           fail(probed);
         }
@@ -99,7 +99,7 @@
 
   @Test
   void silenceAloneIsConfirmedByProbes() {
-    reachability.recordSuspicion();
+    reachability.recordSuspicion(nowNanos);
     assertThat(reachability.state(), is(State.SUSPECTED));
     probeUntilCertain(Set.of());
 
@@ -132,12 +132,38 @@
   void oneConnectionThatWorksEndsTheCut() {
     endpoints.forEach(this::fail);
     assertThat(reachability.isCutOff(), is(true));
-    reachability.recordConnected();
+    advanceMillis(5_000);
+    assertThat(reachability.isCutOff(), is(true));
+    reachability.recordConnected(nowNanos);
 
     assertThat(reachability.state(), is(State.REACHABLE));
     assertThat(reachability.failedEndpoints(), is(0));
   }
 
+  /** Connections that were begun during the cut may time out after it. */
+  @Test
+  void failureThatBeganBeforeAConnectionThatWorksSaysNothing() {
+    endpoints.forEach(this::fail);
+    long duringCutNanos = nowNanos;
+    advanceMillis(300);
+    reachability.recordConnected(nowNanos);
+    endpoints.forEach(each -> reachability.recordConnectFailed(duringCutNanos, each.id()));
+
+    assertThat(reachability.state(), is(State.REACHABLE));
+  }
+
+  /** Connections from before the cut may live on and bring responses. */
+  @Test
+  void connectionThatWasBegunBeforeTheCutDoesNotEndIt() {
+    long beforeCutNanos = nowNanos;
+    advanceMillis(300);
+    endpoints.forEach(this::fail);
+    reachability.recordConnected(beforeCutNanos);
+
+    assertThat(reachability.isCutOff(), is(true));
+    assertThat(reachability.hasConnectedSince(nowNanos), is(false));
+  }
+
   @Test
   void probesOfAVmThatIsCutOffGoToAllZonesAndStayFew() {
     endpoints.forEach(this::fail);
@@ -157,7 +183,7 @@
   void vmWithoutEndpointsIsNotCutOff() {
     endpoints.forEach(this::fail);
     reachability.setEndpoints(List.of());
-    reachability.recordSuspicion();
+    reachability.recordSuspicion(nowNanos);
 
     assertThat(reachability.isCutOff(), is(false));
     assertThat(reachability.takeProbes(nowNanos), is(empty()));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
@@ -84,9 +84,9 @@
     return System.nanoTime() - connections.lastResponseNanos() < LIVE_CONNECTION_NANOS;
   }
 
-  /** Records that an endpoint responded on a new connection. */
-  void recordConnected() {
-    update(reachability::recordConnected);
+  /** Records that an endpoint responded on a new connection, begun at {@code begunNanos}. */
+  void recordConnected(long begunNanos) {
+    update(() -> reachability.recordConnected(begunNanos));
   }
 
   /**
@@ -94,18 +94,18 @@
    * only probes tell whether it was this VM's link.
    */
   void recordLost() {
-    update(reachability::recordSuspicion);
+    update(() -> reachability.recordSuspicion(System.nanoTime()));
   }
 
-  /** Records that a new connection could not be opened. */
-  void recordConnectFailed(RegisteredEndpoint endpoint) {
-    update(() -> reachability.recordConnectFailed(System.nanoTime(), endpoint.id()));
+  /** Records that a new connection, begun at {@code begunNanos}, could not be opened. */
+  void recordConnectFailed(RegisteredEndpoint endpoint, long begunNanos) {
+    update(() -> reachability.recordConnectFailed(begunNanos, endpoint.id()));
   }
 
   /** Records that the response to a request that was sent at {@code sentNanos} is overdue. */
   void recordOverdue(long sentNanos) {
     if (connections.lastResponseNanos() - sentNanos < 0) {
-      update(reachability::recordSuspicion);
+      update(() -> reachability.recordSuspicion(System.nanoTime()));
     }
   }
 
@@ -157,14 +157,15 @@
   }
 
   private void probe(RegisteredEndpoint endpoint) {
+    long begunNanos = System.nanoTime();
     connections
         .openIdle(endpoint.address(), PROBE_TIMEOUT, PROBE_HOLD_MILLIS)
         .whenResult(
             open -> {
               if (open) {
-                recordConnected();
+                recordConnected(begunNanos);
               } else {
-                recordConnectFailed(endpoint);
+                recordConnectFailed(endpoint, begunNanos);
               }
             });
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -453,7 +453,7 @@
   private void onConnectFailed(EndpointAttempt current, ConnectionFailure failure) {
     RegisteredEndpoint endpoint = current.endpoint();
     trace.add(endpoint.id() + ":" + failure);
-    linkMonitor.recordConnectFailed(endpoint);
+    linkMonitor.recordConnectFailed(endpoint, current.startedNanos());
     boolean isAlive = connections.hasRespondedWithin(endpoint.address(), RECENT_RESPONSE_NANOS);
     current.finish(isAlive ? Status.ABANDONED : Status.UNREACHABLE);
     sentAttempts--;
@@ -479,7 +479,7 @@
 
   private void onResponse(EndpointAttempt current, EndpointResponse response) {
     if (current.isOnNewConnection()) {
-      linkMonitor.recordConnected();
+      linkMonitor.recordConnected(current.startedNanos());
     }
     HeaderNames headerNames = services.headerNames();
     EndpointReport report = EndpointReport.read(response, headerNames);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
@@ -25,8 +25,12 @@
 
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
-  /** A VM that has responded to nothing for this long has probably ended or is cut off too. */
-  private static final long MIN_SILENCE_MILLIS = 1_000;
+  private static final long VM_CHECK_INTERVAL_MILLIS = 250;
+
+  /** After this and a multiple of the latency objective, a connection is taken to be dead. */
+  private static final long MIN_SILENCE_MILLIS = 2_000;
+
+  private static final int SILENCE_OBJECTIVES = 3;
 
   private static final int MAX_VMS = 3;
   private static final int MAX_CONNECTIONS_PER_VM = 64;
@@ -71,7 +75,7 @@
     private final Member vm;
     private final EndpointConnection connection;
     private final long startedNanos = System.nanoTime();
-    private Optional<ScheduledRunnable> silenceTimer = Optional.empty();
+    private Optional<ScheduledRunnable> vmCheck = Optional.empty();
 
     Sent(Member vm, EndpointConnection connection) {
       this.vm = vm;
@@ -157,7 +161,7 @@
     }
     Sent current = new Sent(vm, connection.get());
     sent = Optional.of(current);
-    scheduleSilenceCheck(current, onResult);
+    scheduleVmCheck(current, onResult);
     Duration connectTimeout =
         Duration.ofMillis(Math.min(CONNECT_TIMEOUT.toMillis(), remainingMillis));
     var response =
@@ -168,22 +172,23 @@
     response.whenResult(result -> onResponse(current, sentAttempts, result, onResult));
   }
 
-  private void scheduleSilenceCheck(Sent current, Consumer<Result> onResult) {
-    if (!request.rule().idempotent()) {
-      return;
+  private void scheduleVmCheck(Sent current, Consumer<Result> onResult) {
+    if (request.rule().idempotent()) {
+      current.vmCheck =
+          Optional.of(
+              network
+                  .reactor()
+                  .delayBackground(VM_CHECK_INTERVAL_MILLIS, () -> checkVm(current, onResult)));
     }
-    long delayMillis = Math.max(MIN_SILENCE_MILLIS, request.rule().latencyObjectiveMillis());
-    current.silenceTimer =
-        Optional.of(
-            network
-                .reactor()
-                .delayBackground(delayMillis, () -> onSilenceCheck(current, onResult)));
   }
 
-  /** Gives up a VM that has responded to nothing since the request was relayed to it. */
-  private void onSilenceCheck(Sent current, Consumer<Result> onResult) {
-    long respondedNanos = network.connections().lastResponseNanos(current.vm.trafficAddress());
-    if (respondedNanos - current.startedNanos > 0) {
+  /**
+   * Gives up a VM that is believed dead, or that has responded to nothing on any connection since
+   * the request was relayed to it.
+   */
+  private void checkVm(Sent current, Consumer<Result> onResult) {
+    if (network.selector().isAlive(current.vm.vm()) && !isSilent(current)) {
+      scheduleVmCheck(current, onResult);
       return;
     }
     cancel();
@@ -193,8 +198,16 @@
     onResult.accept(new Result.Lost());
   }
 
+  private boolean isSilent(Sent current) {
+    long respondedNanos = network.connections().lastResponseNanos(current.vm.trafficAddress());
+    long silenceMillis =
+        Math.max(MIN_SILENCE_MILLIS, SILENCE_OBJECTIVES * request.rule().latencyObjectiveMillis());
+    return respondedNanos - current.startedNanos < 0
+        && System.nanoTime() - current.startedNanos >= TimeUnit.MILLISECONDS.toNanos(silenceMillis);
+  }
+
   private void end(Sent current) {
-    current.silenceTimer.ifPresent(ScheduledRunnable::cancel);
+    current.vmCheck.ifPresent(ScheduledRunnable::cancel);
     sent = Optional.empty();
     network.selector().recordEnded(current.vm.vm());
   }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/CuttableLink.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/CuttableLink.java
@@ -35,6 +35,8 @@
     HANG,
     /** Open connections are reset, and new ones are refused. */
     RESET,
+    /** Open connections are reset, and new ones are accepted and then reset. */
+    RESET_ACCEPTED,
     /** Open connections go on, and new ones are refused. */
     REFUSE_NEW
   }
@@ -46,6 +48,7 @@
   private final Object hangLock = new Object();
   private ServerSocket server;
   private boolean hanging;
+  private volatile boolean resetting;
 
   CuttableLink(HostAndPort target) throws IOException {
     this.target = target;
@@ -71,6 +74,12 @@
         fillBacklog();
       }
       case RESET -> resetAll();
+      case RESET_ACCEPTED -> {
+        resetAll();
+        resetting = true;
+        listen(BACKLOG);
+        acceptFrom(server);
+      }
       case REFUSE_NEW -> {}
     }
   }
@@ -82,6 +91,7 @@
       filler.close();
     }
     fillers.clear();
+    resetting = false;
     listen(BACKLOG);
     acceptFrom(server);
     synchronized (hangLock) {
@@ -153,7 +163,7 @@
             () -> {
               try {
                 while (true) {
-                  forward(from.accept());
+                  accept(from.accept());
                 }
               } catch (IOException e) {
                 // Thrown when a cut closes the server socket.
@@ -161,6 +171,15 @@
             });
   }
 
+  private void accept(Socket near) throws IOException {
+    if (resetting) {
+      setToReset(near);
+      near.close();
+    } else {
+      forward(near);
+    }
+  }
+
   private void forward(Socket near) throws IOException {
     Socket far = new Socket(target.host(), target.port());
     sockets.add(near);
