Report a lost attempt only after a connection has shown that this VM's links work

Cause: LostAttempts took an endpoint for ended when no connection of this VM to it outlived the attempt, which holds for all endpoints when the VM has lost its own links.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.activej.reactor.nio.NioReactor;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -34,9 +35,13 @@
   private final EndpointConnectionPool connections;
   private final EndpointReachability reachability = new EndpointReachability();
   private final Set<Listener> listeners = new LinkedHashSet<>();
+  private final List<Deferred> deferred = new ArrayList<>();
   private long cutOffNanos;
   private boolean probing;
 
+  /** What is to be done when a connection works that was begun after {@code sinceNanos}. */
+  private record Deferred(long sinceNanos, Runnable action) {}
+
   /** Hears of the cut. */
   interface Listener {
     /** Called when this VM is cut off from all endpoints. */
@@ -90,8 +95,8 @@
   }
 
   /**
-   * Records that a new connection was lost before any response. The endpoint may have ended, so
-   * only probes tell whether it was this VM's link.
+   * Records that a connection was lost with a request on it. The endpoint may have ended, so only
+   * probes tell whether it was this VM's link.
    */
   void recordLost() {
     update(() -> reachability.recordSuspicion(System.nanoTime()));
@@ -102,6 +107,19 @@
     update(() -> reachability.recordConnectFailed(begunNanos, endpoint.id()));
   }
 
+  /**
+   * Runs {@code action} when a connection works that was begun after {@code sinceNanos}, so that
+   * what happened then was not the fault of this VM's links. Never runs it if this VM turns out to
+   * be cut off.
+   */
+  void whenLinksWorkSince(long sinceNanos, Runnable action) {
+    if (reachability.hasConnectedSince(sinceNanos)) {
+      action.run();
+    } else if (!reachability.isCutOff()) {
+      deferred.add(new Deferred(sinceNanos, action));
+    }
+  }
+
   /** Records that the response to a request that was sent at {@code sentNanos} is overdue. */
   void recordOverdue(long sentNanos) {
     if (connections.lastResponseNanos() - sentNanos < 0) {
@@ -120,7 +138,10 @@
           "triedEndpoints",
           reachability.failedEndpoints(),
           "lastResponseMillisAgo",
-          elapsedMillis(connections.lastResponseNanos()));
+          elapsedMillis(connections.lastResponseNanos()),
+          "unreportedLosses",
+          deferred.size());
+      deferred.clear();
       tellListeners(Listener::onCutOff);
     }
     if (!isCutOff && wasCutOff) {
@@ -128,9 +149,19 @@
       connections.closeAllIdle();
       tellListeners(Listener::onReachedAgain);
     }
+    runDeferred();
     startProbing();
   }
 
+  private void runDeferred() {
+    List<Deferred> due =
+        deferred.stream()
+            .filter(each -> reachability.hasConnectedSince(each.sinceNanos()))
+            .toList();
+    deferred.removeAll(due);
+    due.forEach(each -> each.action().run());
+  }
+
   /** Tells the listeners later, as the change may come from one that is in between two states. */
   private void tellListeners(Consumer<Listener> event) {
     reactor.post(() -> ImmutableList.copyOf(listeners).forEach(event));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
@@ -14,6 +14,7 @@
 
   private final NioReactor reactor;
   private final EndpointConnectionPool connections;
+  private final EndpointLinkMonitor linkMonitor;
   private final CrashGuard crashGuard;
   private final Supplier<RequestFingerprint> fingerprint;
   private int count;
@@ -22,10 +23,12 @@
   LostAttempts(
       NioReactor reactor,
       EndpointConnectionPool connections,
+      EndpointLinkMonitor linkMonitor,
       CrashGuard crashGuard,
       Supplier<RequestFingerprint> fingerprint) {
     this.reactor = reactor;
     this.connections = connections;
+    this.linkMonitor = linkMonitor;
     this.crashGuard = crashGuard;
     this.fingerprint = fingerprint;
   }
@@ -39,11 +42,22 @@
   void record(RegisteredEndpoint endpoint) {
     count++;
     long lostNanos = System.nanoTime();
+    linkMonitor.recordLost();
     reactor.delayBackground(END_DETECTION_MILLIS, () -> reportIfEnded(endpoint, lostNanos));
   }
 
+  /**
+   * Reports the attempt unless a connection outlived it, or all connections of this VM may have
+   * been lost with it: the report blocks requests at all VMs.
+   */
   private void reportIfEnded(RegisteredEndpoint endpoint, long lostNanos) {
     if (!survived && !connections.hasConnectionSince(endpoint.address(), lostNanos)) {
+      linkMonitor.whenLinksWorkSince(lostNanos, () -> report(endpoint));
+    }
+  }
+
+  private void report(RegisteredEndpoint endpoint) {
+    if (!survived) {
       crashGuard.reportLost(new LostAttempt(fingerprint.get(), EndpointIncarnation.of(endpoint)));
     }
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -102,7 +102,8 @@
     this.linkMonitor = services.linkMonitor();
     this.request = request;
     this.fingerprint = Suppliers.memoize(request::fingerprint);
-    this.lostAttempts = new LostAttempts(reactor, connections, services.crashGuard(), fingerprint);
+    this.lostAttempts =
+        new LostAttempts(reactor, connections, linkMonitor, services.crashGuard(), fingerprint);
     this.relay = new RequestRelay(services.relayNetwork(), request, configVersion, trace);
     this.attemptsElsewhere = request.relay().map(RelayHeader::sentAttempts).orElse(0);
     this.sentAttempts = attemptsElsewhere;
@@ -470,9 +471,6 @@
 
   private void recordLost(EndpointAttempt current, String how) {
     RegisteredEndpoint endpoint = current.endpoint();
-    if (current.isOnNewConnection()) {
-      linkMonitor.recordLost();
-    }
     trace.add(endpoint.id() + ":" + how);
     lostAttempts.record(endpoint);
   }
