Let another VM send to a limited or cold endpoint when the only sender is cut off

Cause: LimitShares elects among all VMs that accept callers, whether they reach endpoints or not. Change: VMs that announce that they are cut off are not elected. The one that takes over waits as after a failure.

--- a/core/src/main/java/org/mustardstage/core/member/MemberStatus.java
+++ b/core/src/main/java/org/mustardstage/core/member/MemberStatus.java
@@ -31,4 +31,9 @@
   public boolean acceptsCallers() {
     return liveness == Liveness.ALIVE && !member.leaving();
   }
+
+  /** Returns whether the member accepts callers and sends their requests to endpoints itself. */
+  public boolean reachesEndpoints() {
+    return acceptsCallers() && !member.cutOff();
+  }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/LimitShares.java
+++ b/core/src/main/java/org/mustardstage/core/placement/LimitShares.java
@@ -65,7 +65,7 @@
   /**
    * What is known of a region.
    *
-   * @param serving the VMs that callers are directed to
+   * @param serving the VMs that callers are directed to and that reach endpoints
    * @param aliveCount the number of VMs that are alive
    * @param suspectedCount the number of VMs of which it is not known whether they are
    * @param changedNanos when {@code serving} last changed
@@ -125,7 +125,7 @@
         ImmutableSet.copyOf(
             LargeVmSelector.selectPerZone(
                 inRegion.stream()
-                    .filter(MemberStatus::acceptsCallers)
+                    .filter(MemberStatus::reachesEndpoints)
                     .map(MemberStatus::member)
                     .toList()));
     Optional<RegionVms> unchanged = before.filter(vms -> vms.serving().equals(serving));
--- a/core/src/main/java/org/mustardstage/core/placement/RelaySelector.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RelaySelector.java
@@ -53,9 +53,9 @@
     candidates =
         LargeVmSelector.selectPerZone(
             view.statuses().stream()
-                .filter(MemberStatus::acceptsCallers)
+                .filter(MemberStatus::reachesEndpoints)
                 .map(MemberStatus::member)
-                .filter(member -> !member.cutOff() && !member.vm().equals(self))
+                .filter(member -> !member.vm().equals(self))
                 .filter(member -> !view.isInSilentZone(member))
                 .toList());
   }
