Take a VM to be cut off only when it was refused in all zones, eight at most; move held reports to core

Found by CutOffVmsSimulationTest (300 VMs): with 60 and 100 of 120 endpoints ended, some VMs took themselves to be cut off for a moment (up to 35 of 300 at a time), as three zones without a connection were enough. LossReports holds back the reports of lost attempts; it was a part of EndpointLinkMonitor.

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointReachability.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointReachability.java
@@ -27,14 +27,16 @@
   /** Fewer endpoints may fail together, as they share a rack or are replaced. */
   private static final int MIN_FAILED_ENDPOINTS = 4;
 
-  private static final int MIN_FAILED_ZONES = 3;
+  /** All zones, where there are no more: several may be without power at once. */
+  private static final int MIN_FAILED_ZONES = 8;
 
   /** One endpoint that can't be reached has probably ended itself. */
   private static final int SUSPICIOUS_ENDPOINTS = 2;
 
   private static final int PROBES_WHEN_SUSPECTED = 2;
   private static final int PROBES_WHEN_CUT_OFF = 1;
-  private static final long PROBE_INTERVAL_NANOS = 200_000_000L;
+  private static final long SUSPECTED_PROBE_INTERVAL_NANOS = 100_000_000L;
+  private static final long CUT_OFF_PROBE_INTERVAL_NANOS = 200_000_000L;
 
   /** How long a failure counts while the VM is not taken to be cut off. */
   private static final long EVIDENCE_NANOS = 3_000_000_000L;
@@ -167,14 +169,13 @@
    * against the links.
    */
   public ImmutableList<RegisteredEndpoint> takeProbes(long nowNanos) {
-    if (state == State.REACHABLE || nowNanos - lastProbeNanos < PROBE_INTERVAL_NANOS) {
+    boolean isCutOff = state == State.CUT_OFF;
+    long intervalNanos = isCutOff ? CUT_OFF_PROBE_INTERVAL_NANOS : SUSPECTED_PROBE_INTERVAL_NANOS;
+    if (state == State.REACHABLE || nowNanos - lastProbeNanos < intervalNanos) {
       return ImmutableList.of();
     }
     lastProbeNanos = nowNanos;
-    int count =
-        Math.min(
-            probeOrder.size(),
-            state == State.CUT_OFF ? PROBES_WHEN_CUT_OFF : PROBES_WHEN_SUSPECTED);
+    int count = Math.min(probeOrder.size(), isCutOff ? PROBES_WHEN_CUT_OFF : PROBES_WHEN_SUSPECTED);
     ImmutableList.Builder<RegisteredEndpoint> probes = ImmutableList.builder();
     for (int i = 0; i < count; i++) {
       probes.add(probeOrder.get(Math.floorMod(nextProbe++, probeOrder.size())));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
@@ -4,7 +4,6 @@
 import com.google.common.collect.ImmutableMap;
 import io.activej.reactor.nio.NioReactor;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -13,6 +12,7 @@
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.placement.EndpointReachability;
+import org.mustardstage.core.placement.LossReports;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
@@ -35,13 +35,10 @@
   private final EndpointConnectionPool connections;
   private final EndpointReachability reachability = new EndpointReachability();
   private final Set<Listener> listeners = new LinkedHashSet<>();
-  private final List<Deferred> deferred = new ArrayList<>();
+  private final LossReports<Runnable> lossReports = new LossReports<>(reachability);
   private long cutOffNanos;
   private boolean probing;
 
-  /** What is to be done when a connection works that was begun after {@code sinceNanos}. */
-  private record Deferred(long sinceNanos, Runnable action) {}
-
   /** Hears of the cut. */
   interface Listener {
     /** Called when this VM is cut off from all endpoints. */
@@ -108,16 +105,12 @@
   }
 
   /**
-   * Runs {@code action} when a connection works that was begun after {@code sinceNanos}, so that
-   * what happened then was not the fault of this VM's links. Never runs it if this VM turns out to
-   * be cut off.
+   * Runs {@code report} of an attempt that was lost at {@code lostNanos} when it is known that this
+   * VM's links didn't cause the loss; never, if this VM turns out to be cut off.
    */
-  void whenLinksWorkSince(long sinceNanos, Runnable action) {
-    if (reachability.hasConnectedSince(sinceNanos)) {
-      action.run();
-    } else if (!reachability.isCutOff()) {
-      deferred.add(new Deferred(sinceNanos, action));
-    }
+  void whenNotOwnLinks(long lostNanos, Runnable report) {
+    lossReports.add(lostNanos, report);
+    lossReports.takeDue().forEach(Runnable::run);
   }
 
   /** Records that the response to a request that was sent at {@code sentNanos} is overdue. */
@@ -140,8 +133,7 @@
           "lastResponseMillisAgo",
           elapsedMillis(connections.lastResponseNanos()),
           "unreportedLosses",
-          deferred.size());
-      deferred.clear();
+          lossReports.drop());
       tellListeners(Listener::onCutOff);
     }
     if (!isCutOff && wasCutOff) {
@@ -149,19 +141,10 @@
       connections.closeAllIdle();
       tellListeners(Listener::onReachedAgain);
     }
-    runDeferred();
+    lossReports.takeDue().forEach(Runnable::run);
     startProbing();
   }
 
-  private void runDeferred() {
-    List<Deferred> due =
-        deferred.stream()
-            .filter(each -> reachability.hasConnectedSince(each.sinceNanos()))
-            .toList();
-    deferred.removeAll(due);
-    due.forEach(each -> each.action().run());
-  }
-
   /** Tells the listeners later, as the change may come from one that is in between two states. */
   private void tellListeners(Consumer<Listener> event) {
     reactor.post(() -> ImmutableList.copyOf(listeners).forEach(event));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
@@ -52,7 +52,7 @@
    */
   private void reportIfEnded(RegisteredEndpoint endpoint, long lostNanos) {
     if (!survived && !connections.hasConnectionSince(endpoint.address(), lostNanos)) {
-      linkMonitor.whenLinksWorkSince(lostNanos, () -> report(endpoint));
+      linkMonitor.whenNotOwnLinks(lostNanos, () -> report(endpoint));
     }
   }
 
