--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointResponse.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointResponse.java
@@ -11,6 +11,7 @@
  */
 @SuppressWarnings("ArrayRecordComponent")
 record EndpointResponse(int status, HeaderList headers, byte[] body) {
+  private static final int STATUS_MISDIRECTED = 421;
   private static final int MIN_SUCCESS_STATUS = 200;
   private static final int MIN_REDIRECT_STATUS = 300;
 
@@ -22,6 +23,11 @@
     return NOT_RUN_STATUSES.contains(status);
   }
 
+  /** Returns whether the address belongs to another endpoint than the expected one. */
+  boolean isMisdirected() {
+    return status == STATUS_MISDIRECTED;
+  }
+
   boolean isSuccess() {
     return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -24,7 +24,6 @@
 import org.mustardstage.core.placement.RejectionReason;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
-import org.mustardstage.entry.gateway.PlacementRequest.BudgetUse;
 
 /**
  * Executes one request of a caller: requests a placement, sends the request to the chosen endpoint,
@@ -58,7 +57,6 @@
   /** An endpoint that responded this recently has not ended, though a new connection failed. */
   private static final long RECENT_RESPONSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  private static final int STATUS_MISDIRECTED = 421;
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
   private final GatewayServices services;
@@ -79,17 +77,9 @@
   private Optional<Placer.PendingPlacement> pendingPlacement = Optional.empty();
   private Optional<ScheduledRunnable> timeout = Optional.empty();
 
-  /** The attempts that the VM which relayed the request has used or kept back. */
-  private final int attemptsElsewhere;
-
-  private int sentAttempts;
+  private final AttemptBudget attemptBudget;
   private int failedConnects;
-  private boolean countedFirstAttempt;
   private boolean relaying;
-
-  /** The attempts that the VM may use to which the request is relayed. */
-  private int relayedAttempts;
-
   private boolean mayHaveRun;
 
   /** A server error from an endpoint, forwarded if no other endpoint responds with a success. */
@@ -105,9 +95,7 @@
     this.lostAttempts =
         new LostAttempts(reactor, connections, linkMonitor, services.crashGuard(), fingerprint);
     this.relay = new RequestRelay(services.relayNetwork(), request, configVersion, trace);
-    this.attemptsElsewhere = request.relay().map(RelayHeader::sentAttempts).orElse(0);
-    this.sentAttempts = attemptsElsewhere;
-    this.countedFirstAttempt = request.relay().isPresent();
+    this.attemptBudget = new AttemptBudget(request);
   }
 
   /** Starts the execution. The returned promise never fails. */
@@ -173,7 +161,7 @@
                     objectiveDeadlineNanos,
                     request.deadlineNanos(),
                     triedEndpoints,
-                    nextBudgetUse()),
+                    attemptBudget.nextUse()),
                 decision -> {
                   decidedSynchronously[0] = true;
                   onDecision(decision);
@@ -183,26 +171,12 @@
     }
   }
 
-  /** Returns how the next attempt counts. The first one of a request is counted only once. */
-  private BudgetUse nextBudgetUse() {
-    if (sentAttempts > attemptsElsewhere) {
-      return BudgetUse.RETRY;
-    }
-    boolean counted = countedFirstAttempt;
-    countedFirstAttempt = true;
-    return counted ? BudgetUse.NOT_SENT_BEFORE : BudgetUse.FIRST_ATTEMPT;
-  }
-
-  /**
-   * Relays the request to another VM; returns whether that was decided. One attempt of an
-   * idempotent request is kept back, for the case that the other VM is lost with it.
-   */
+  /** Relays the request to another VM; returns whether that was decided. */
   private boolean startRelay() {
-    int remainingAttempts = request.rule().maxAttempts() - sentAttempts;
-    if (relaying || remainingAttempts <= 0 || !relay.hasVm()) {
+    if (relaying || !attemptBudget.hasAttempt() || !relay.hasVm()) {
       return false;
     }
-    switch (nextBudgetUse()) {
+    switch (attemptBudget.nextUse()) {
       case FIRST_ATTEMPT -> services.placer().recordFirstAttempt(request.service());
       case RETRY -> {
         if (!services.placer().tryAcquireRetry(request.service())) {
@@ -212,11 +186,8 @@
       }
       case NOT_SENT_BEFORE -> {}
     }
-    int keptBack = request.rule().idempotent() && remainingAttempts > 1 ? 1 : 0;
     relaying = true;
-    relayedAttempts = remainingAttempts - keptBack;
-    relay.start(sentAttempts + keptBack, this::onRelayResult);
-    sentAttempts += relayedAttempts;
+    relay.start(attemptBudget.handOver(), this::onRelayResult);
     return true;
   }
 
@@ -225,7 +196,7 @@
     switch (result) {
       case RequestRelay.Result.Responded responded -> onRelayedResponse(responded.response());
       case RequestRelay.Result.NotRun notRun -> {
-        sentAttempts -= relayedAttempts;
+        attemptBudget.takeBack();
         if (attemptsInFlight.isEmpty()) {
           finish(failureOutcome(notRun.reason(), notRun.retryAfterMillis()));
         }
@@ -241,7 +212,7 @@
         retryOrFail(RequestOutcome.Unknown.Cause.ANSWER_LOST);
       }
       case RequestRelay.Result.NoVm noVm -> {
-        sentAttempts -= relayedAttempts;
+        attemptBudget.takeBack();
         if (linkMonitor.isCutOff() && !linkMonitor.hasLiveConnections()) {
           failUnlessInFlight(NotRunReasons.CUT_OFF);
         } else if (attemptsInFlight.isEmpty()) {
@@ -276,7 +247,7 @@
         waiting = true;
         attemptsInFlight.remove(attempt);
         attempt.cancel();
-        sentAttempts--;
+        attemptBudget.recordNotSent();
       }
     }
     if (attemptsInFlight.isEmpty()) {
@@ -287,7 +258,7 @@
     }
     if (!linkMonitor.hasLiveConnections()
         && request.rule().idempotent()
-        && sentAttempts < request.rule().maxAttempts()) {
+        && attemptBudget.hasAttempt()) {
       hedge(attemptsInFlight.getLast());
     }
   }
@@ -356,7 +327,7 @@
       failUnlessInFlight(NotRunReasons.NO_LINK);
       return;
     }
-    sentAttempts++;
+    attemptBudget.recordSent();
     EndpointAttempt current =
         new EndpointAttempt(services.placer(), request.service(), placed, connection.get(), trace);
     attemptsInFlight.add(current);
@@ -385,7 +356,7 @@
   }
 
   private void scheduleHedge(EndpointAttempt current) {
-    if (!request.rule().idempotent() || sentAttempts >= request.rule().maxAttempts()) {
+    if (!request.rule().idempotent() || !attemptBudget.hasAttempt()) {
       return;
     }
     long expectedMillis = current.expectedMillis();
@@ -457,7 +428,7 @@
     linkMonitor.recordConnectFailed(endpoint, current.startedNanos());
     boolean isAlive = connections.hasRespondedWithin(endpoint.address(), RECENT_RESPONSE_NANOS);
     current.finish(isAlive ? Status.ABANDONED : Status.UNREACHABLE);
-    sentAttempts--;
+    attemptBudget.recordNotSent();
     failedConnects++;
     if (isInFlight()) {
       return;
@@ -481,13 +452,10 @@
     }
     HeaderNames headerNames = services.headerNames();
     EndpointReport report = EndpointReport.read(response, headerNames);
-    boolean notRun =
-        response.headers().has(headerNames.notExecuted())
-            || response.status() == STATUS_MISDIRECTED;
-    if (notRun && echoesRequestId(response)) {
-      boolean misdirected = response.status() == STATUS_MISDIRECTED;
+    ResponseIntegrity integrity = new ResponseIntegrity(headerNames, request.id());
+    if (integrity.provesNotRun(response)) {
       returnToPool(current);
-      if (misdirected) {
+      if (response.isMisdirected()) {
         // Another endpoint responded, whose load and notices say nothing about the expected one.
         current.finish(Status.MISDIRECTED);
       } else {
@@ -496,7 +464,7 @@
       onRejectedByEndpoint();
       return;
     }
-    if (!isIntact(response)) {
+    if (!integrity.isIntact(response)) {
       current.connection().close();
       current.finish(Status.SPOILED, report);
       mayHaveRun = true;
@@ -527,32 +495,9 @@
     connections.release(current.endpoint().address(), current.connection());
   }
 
-  /**
-   * Returns whether the response was produced by the endpoint for this request and not altered on
-   * the way: it echoes the request's id and has no content encoding, and a success has the
-   * endpoint's seal. A status that promises that the request has not run needs the header that says
-   * so.
-   */
-  private boolean isIntact(EndpointResponse response) {
-    if (response.headers().has("Content-Encoding")
-        || !echoesRequestId(response)
-        || response.promisesNotRun()) {
-      return false;
-    }
-    return !response.isSuccess() || response.headers().has(services.headerNames().endpointSeal());
-  }
-
-  private boolean echoesRequestId(EndpointResponse response) {
-    return response
-        .headers()
-        .find(services.headerNames().requestId())
-        .filter(request.id()::equals)
-        .isPresent();
-  }
-
   private boolean canRetry() {
     return !isInFlight()
-        && sentAttempts < request.rule().maxAttempts()
+        && attemptBudget.hasAttempt()
         && remainingMillis() > RESPONSE_TRANSFER_MARGIN_MILLIS;
   }
 
