--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
@@ -160,12 +160,15 @@
   }
 
   /**
-   * Returns whether {@code address} responded within the last {@code withinNanos}, so that the
-   * process there has not ended although a new connection to it failed.
+   * Returns whether {@code address} responded within the last {@code withinNanos} and a connection
+   * to it is still open, so that the process there has not ended although a new connection failed.
    */
-  boolean hasRespondedWithin(HostAndPort address, long withinNanos) {
+  boolean isAlive(HostAndPort address, long withinNanos) {
     AddressPool pool = pools.get(address);
-    return pool != null && System.nanoTime() - pool.lastResponseNanos < withinNanos;
+    long nowNanos = System.nanoTime();
+    return pool != null
+        && nowNanos - pool.lastResponseNanos < withinNanos
+        && pool.open.stream().anyMatch(each -> each.isOpenSince(nowNanos));
   }
 
   /**
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -54,7 +54,9 @@
   /** From then on a request is relayed if other failures speak against the links too. */
   private static final int FAILED_CONNECTS_UNTIL_RELAYED = 2;
 
-  /** An endpoint that responded this recently has not ended, though a new connection failed. */
+  /**
+   * An endpoint that responded this recently, on a connection that is still open, has not ended.
+   */
   private static final long RECENT_RESPONSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private static final int MIN_SERVER_ERROR_STATUS = 500;
@@ -426,7 +428,7 @@
     RegisteredEndpoint endpoint = current.endpoint();
     trace.add(endpoint.id() + ":" + failure);
     linkMonitor.recordConnectFailed(endpoint, current.startedNanos());
-    boolean isAlive = connections.hasRespondedWithin(endpoint.address(), RECENT_RESPONSE_NANOS);
+    boolean isAlive = connections.isAlive(endpoint.address(), RECENT_RESPONSE_NANOS);
     current.finish(isAlive ? Status.ABANDONED : Status.UNREACHABLE);
     attemptBudget.recordNotSent();
     failedConnects++;
