--- a/core/src/main/java/org/mustardstage/core/placement/EndpointReachability.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointReachability.java
@@ -19,9 +19,9 @@
  *
  * <p>Handles a VM that loses its links to endpoints while the other VMs keep theirs. What it sees
  * then says nothing about the endpoints. It is taken to be cut off when new connections to several
- * endpoints in several zones have failed and none has succeeded in between, whatever open
- * connections do. A few failures only raise the suspicion, which probes in other zones confirm or
- * refute.
+ * endpoints, in all zones or in eight of them, have failed and none that was begun later works,
+ * whatever open connections do. A few failures only raise the suspicion, which probes in other
+ * zones confirm or refute.
  */
 public final class EndpointReachability {
   /** Fewer endpoints may fail together, as they share a rack or are replaced. */
