Read the change again: one way to send over a pooled connection, less on the request path

- RequestExecution and RequestRelay took an idle connection or opened one in the same way, each with its own limit and timeout, and the probes with a third: EndpointConnectionPool.send does, with one of each.
- Each request created the state of a relay that few need, and formatted the caller's address to see whether it is a VM's; both only when they are needed now.
- RequestRelay passed the attempts and the listener through six methods; they are fields.
A suspicion is derived from the times of the suspicion and of the last connection.
Membership has one way to announce a change of this VM.
- A name that two types had (EndpointAttempt), a constructor of Member with four callers, an empty callback, a cast.

--- a/core/src/main/java/org/mustardstage/core/member/Member.java
+++ b/core/src/main/java/org/mustardstage/core/member/Member.java
@@ -49,28 +49,7 @@
         peerAddress,
         adminAddress,
         leaving,
-        DEFAULT_MILLI_CORES);
-  }
-
-  /** Creates a member that reaches endpoints. */
-  public Member(
-      VmIncarnation incarnation,
-      ZoneId zone,
-      RegionId region,
-      HostAndPort trafficAddress,
-      HostAndPort peerAddress,
-      HostAndPort adminAddress,
-      boolean leaving,
-      int milliCores) {
-    this(
-        incarnation,
-        zone,
-        region,
-        trafficAddress,
-        peerAddress,
-        adminAddress,
-        leaving,
-        milliCores,
+        DEFAULT_MILLI_CORES,
         /* cutOff= */ false);
   }
 
--- a/core/src/main/java/org/mustardstage/core/member/MemberView.java
+++ b/core/src/main/java/org/mustardstage/core/member/MemberView.java
@@ -38,15 +38,14 @@
    * those of silent zones, are returned only when there are no others.
    */
   public ImmutableList<Member> membersAcceptingCallers() {
-    ImmutableList<Member> reachable =
-        membersAcceptingCallers(status -> !isInSilentZone(status.member()));
     ImmutableList<Member> linked =
-        reachable.stream()
-            .filter(member -> !member.cutOff())
-            .collect(ImmutableList.toImmutableList());
+        membersAcceptingCallers(
+            status -> status.reachesEndpoints() && !isInSilentZone(status.member()));
     if (!linked.isEmpty()) {
       return linked;
     }
+    ImmutableList<Member> reachable =
+        membersAcceptingCallers(status -> !isInSilentZone(status.member()));
     return reachable.isEmpty() ? membersAcceptingCallers(status -> true) : reachable;
   }
 
--- a/core/src/main/java/org/mustardstage/core/member/Membership.java
+++ b/core/src/main/java/org/mustardstage/core/member/Membership.java
@@ -135,9 +135,7 @@
 
   /** Marks this VM as leaving and announces it to all heartbeat targets at once. */
   public List<MemberAction> leave(long nowNanos) {
-    self = self.asLeaving();
-    heartbeatSchedule.makeAllDue();
-    return tick(nowNanos);
+    return announce(nowNanos, self.asLeaving());
   }
 
   /**
@@ -145,7 +143,11 @@
    * endpoints again.
    */
   public List<MemberAction> setCutOff(long nowNanos, boolean cutOff) {
-    self = self.withCutOff(cutOff);
+    return announce(nowNanos, self.withCutOff(cutOff));
+  }
+
+  private List<MemberAction> announce(long nowNanos, Member changedSelf) {
+    self = changedSelf;
     heartbeatSchedule.makeAllDue();
     return tick(nowNanos);
   }
--- a/core/src/main/java/org/mustardstage/core/placement/AttemptResult.java
+++ b/core/src/main/java/org/mustardstage/core/placement/AttemptResult.java
@@ -43,7 +43,7 @@
     ABANDONED;
 
     /** Returns whether a broken link of this VM would have the same result. */
-    public boolean mayBeOwnLink() {
+    private boolean mayBeOwnLink() {
       return this == SPOILED || this == UNREACHABLE || this == SILENT;
     }
   }
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointReachability.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointReachability.java
@@ -58,8 +58,10 @@
   private Map<EndpointId, ZoneId> zones = Map.of();
   private State state = State.REACHABLE;
   private long lastConnectedNanos = Long.MIN_VALUE / 2;
-  private boolean suspected;
-  private long suspicionNanos;
+
+  /** Counts until a connection works that was begun later. */
+  private long suspicionNanos = lastConnectedNanos;
+
   private int nextProbe;
   private long lastProbeNanos = Long.MIN_VALUE / 2;
 
@@ -118,7 +120,6 @@
     }
     lastConnectedNanos = begunNanos;
     failureNanos.values().removeIf(nanos -> nanos - begunNanos <= 0);
-    suspected &= suspicionNanos - begunNanos > 0;
     updateState();
   }
 
@@ -144,7 +145,9 @@
             && failedZones().size()
                 >= Math.min(MIN_FAILED_ZONES, Set.copyOf(zones.values()).size());
     boolean isSuspected =
-        !zones.isEmpty() && (suspected || failureNanos.size() >= SUSPICIOUS_ENDPOINTS);
+        !zones.isEmpty()
+            && (suspicionNanos - lastConnectedNanos > 0
+                || failureNanos.size() >= SUSPICIOUS_ENDPOINTS);
     state = isCutOff ? State.CUT_OFF : isSuspected ? State.SUSPECTED : State.REACHABLE;
   }
 
@@ -159,7 +162,6 @@
    * while no endpoint responds to anything, or a connection that was lost.
    */
   public void recordSuspicion(long nowNanos) {
-    suspected = true;
     suspicionNanos = nowNanos;
     updateState();
   }
--- a/core/src/test/java/org/mustardstage/core/lookup/LargeVmSelectorTest.java
+++ b/core/src/test/java/org/mustardstage/core/lookup/LargeVmSelectorTest.java
@@ -85,6 +85,7 @@
         address,
         address,
         /* leaving= */ false,
-        milliCores);
+        milliCores,
+        /* cutOff= */ false);
   }
 }
--- a/core/src/test/java/org/mustardstage/core/placement/LimitSimulation.java
+++ b/core/src/test/java/org/mustardstage/core/placement/LimitSimulation.java
@@ -127,7 +127,8 @@
           new HostAndPort("10.0.0.1", 2),
           new HostAndPort("10.0.0.1", 3),
           /* leaving= */ false,
-          420);
+          420,
+          /* cutOff= */ false);
     }
 
     private void updateView() {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
@@ -4,6 +4,7 @@
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
+import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -37,6 +38,11 @@
    */
   private static final long MAX_NON_IDEMPOTENT_IDLE_MILLIS = 3_000;
 
+  /** A process that has not accepted the connection by then is taken to be gone. */
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+
+  private static final int MAX_CONNECTIONS_PER_ADDRESS = 64;
+
   private final NioReactor reactor;
   private final HeaderNames headerNames;
   private final Map<HostAndPort, AddressPool> pools = new HashMap<>();
@@ -50,6 +56,11 @@
     private long lastResponseNanos = Long.MIN_VALUE / 2;
   }
 
+  /** A request that was sent over a connection, and its response or why there is none. */
+  record Sent(
+      EndpointConnection connection,
+      Promise<Either<ConnectionFailure, EndpointResponse>> response) {}
+
   /**
    * Creates a pool without connections.
    *
@@ -64,11 +75,41 @@
     this.responseBuffers = responseBuffers;
   }
 
+  /**
+   * Sends a request to {@code address} over an idle connection, or over a new one. Returns empty if
+   * all connections that may be open are in use.
+   *
+   * @param bytes the encoded request
+   */
+  Optional<Sent> send(HostAndPort address, CallerRequest request, byte[] bytes) {
+    long nowNanos = System.nanoTime();
+    Optional<EndpointConnection> idle = acquireIdle(address, nowNanos, request.rule().idempotent());
+    if (idle.isPresent()) {
+      EndpointConnection connection = idle.get();
+      return Optional.of(
+          new Sent(connection, connection.send(request.id(), request.hasNoResponseBody(), bytes)));
+    }
+    AddressPool pool = pools.get(address);
+    if (pool != null && pool.open.size() >= MAX_CONNECTIONS_PER_ADDRESS && !closeOldestIdle(pool)) {
+      return Optional.empty();
+    }
+    long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
+    Duration connectTimeout =
+        Duration.ofMillis(Math.clamp(remainingMillis, 1, CONNECT_TIMEOUT.toMillis()));
+    EndpointConnection connection = create(address);
+    return Optional.of(
+        new Sent(
+            connection,
+            connection.connectAndSend(
+                connectTimeout, request.id(), request.hasNoResponseBody(), bytes)));
+  }
+
   /**
    * Removes and returns an idle connection that the request may use, if there is one. A
    * non-idempotent request gets only a connection on which a response arrived recently.
    */
-  Optional<EndpointConnection> acquireIdle(HostAndPort address, long nowNanos, boolean idempotent) {
+  private Optional<EndpointConnection> acquireIdle(
+      HostAndPort address, long nowNanos, boolean idempotent) {
     long maxIdleMillis =
         Math.min(
             idempotent ? Long.MAX_VALUE : MAX_NON_IDEMPOTENT_IDLE_MILLIS,
@@ -92,18 +133,6 @@
     return Optional.empty();
   }
 
-  /**
-   * Returns a connection that is not opened yet. If there are {@code maxOpen} already, closes the
-   * longest idle one for it, or returns empty if none is idle.
-   */
-  Optional<EndpointConnection> create(HostAndPort address, int maxOpen) {
-    AddressPool pool = pools.get(address);
-    if (pool != null && pool.open.size() >= maxOpen && !closeOldestIdle(pool)) {
-      return Optional.empty();
-    }
-    return Optional.of(create(address));
-  }
-
   private EndpointConnection create(HostAndPort address) {
     AddressPool pool = pools.computeIfAbsent(address, key -> new AddressPool());
     EndpointConnection[] self = new EndpointConnection[1];
@@ -123,10 +152,10 @@
    * Completes with whether it is still open after {@code holdMillis}, as a connection may be reset
    * as soon as it is open.
    */
-  Promise<Boolean> openIdle(HostAndPort address, Duration connectTimeout, long holdMillis) {
+  Promise<Boolean> openIdle(HostAndPort address, long holdMillis) {
     EndpointConnection connection = create(address);
     return connection
-        .connect(connectTimeout)
+        .connect(CONNECT_TIMEOUT)
         .then(() -> Promises.delay(holdMillis))
         .then(
             (opened, e) -> {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.activej.reactor.nio.NioReactor;
-import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -23,7 +22,6 @@
  */
 final class EndpointLinkMonitor {
   private static final long PROBE_CHECK_INTERVAL_MILLIS = 50;
-  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
 
   /** By then, a connection that is reset as soon as it is open is closed. */
   private static final long PROBE_HOLD_MILLIS = 50;
@@ -45,7 +43,7 @@
     void onCutOff();
 
     /** Called when the cut has ended. */
-    void onReachedAgain();
+    default void onReachedAgain() {}
   }
 
   EndpointLinkMonitor(NioReactor reactor, EndpointConnectionPool connections) {
@@ -173,7 +171,7 @@
   private void probe(RegisteredEndpoint endpoint) {
     long begunNanos = System.nanoTime();
     connections
-        .openIdle(endpoint.address(), PROBE_TIMEOUT, PROBE_HOLD_MILLIS)
+        .openIdle(endpoint.address(), PROBE_HOLD_MILLIS)
         .whenResult(
             open -> {
               if (open) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -125,7 +125,8 @@
             settings.peerAddress(),
             settings.metricsAddress(),
             /* leaving= */ false,
-            settings.milliCores());
+            settings.milliCores(),
+            /* cutOff= */ false);
     this.eventloop =
         Eventloop.builder()
             .withThreadName("control")
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServices.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServices.java
@@ -5,11 +5,13 @@
 /**
  * What the requests of one traffic thread share.
  *
+ * @param reactor the event loop of the thread
  * @param placer chooses the endpoints
  * @param connections the connections to endpoints
  * @param linkMonitor knows whether this VM reaches any endpoint
  * @param relayNetwork relays requests to other VMs
  * @param crashGuard rejects requests that have ended several endpoints
+ * @param headerNames the headers that callers and endpoints use
  */
 record GatewayServices(
     NioReactor reactor,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -78,11 +78,7 @@
               activeConfig.isEmpty() ? NO_CONFIG_RETRY_AFTER_MILLIS : STOPPING_RETRY_AFTER_MILLIS));
     }
     Either<RequestReader.Problem, RequestReader.Head> head =
-        reader.read(
-            httpRequest,
-            activeConfig.get(),
-            nowNanos,
-            services.relayNetwork().isVm(httpRequest.getRemoteAddress()));
+        reader.read(httpRequest, activeConfig.get(), nowNanos, services.relayNetwork()::isVm);
     if (head.isLeft()) {
       return reject(httpRequest, problem(head.getLeft()));
     }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointAttempt.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
@@ -11,7 +11,7 @@
 import org.mustardstage.core.placement.PlacementDecision;
 
 /** One send of a request to one endpoint. */
-final class EndpointAttempt {
+final class RequestAttempt {
   private final Placer placer;
   private final ServiceName service;
   private final PlacementDecision.Placed placed;
@@ -21,7 +21,7 @@
   private final List<ScheduledRunnable> timers = new ArrayList<>();
   private boolean hedged;
 
-  EndpointAttempt(
+  RequestAttempt(
       Placer placer,
       ServiceName service,
       PlacementDecision.Placed placed,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -7,7 +7,6 @@
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import io.vavr.control.Either;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -37,9 +36,6 @@
    */
   private static final long RESPONSE_TRANSFER_MARGIN_MILLIS = 2;
 
-  /** An endpoint that has not accepted the connection by then is taken to be gone. */
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
-
   /** Multiple of the expected response time after which an idempotent request is hedged. */
   private static final double HEDGE_DELAY_FACTOR = 3;
 
@@ -48,7 +44,6 @@
 
   private static final long MIN_HEDGE_DELAY_MILLIS = 500;
 
-  private static final int MAX_CONNECTIONS_PER_ENDPOINT = 64;
   private static final int MAX_FAILED_CONNECTS = 4;
 
   /** From then on a request is relayed if other failures speak against the links too. */
@@ -74,8 +69,11 @@
   private final SettablePromise<RequestOutcome> outcome = new SettablePromise<>();
   private final Set<EndpointId> triedEndpoints = new HashSet<>();
   private final List<String> trace = new ArrayList<>();
-  private final RequestRelay relay;
-  private final List<EndpointAttempt> attemptsInFlight = new ArrayList<>();
+
+  /** Created when it is first needed, as few requests are relayed. */
+  private final Supplier<RequestRelay> relay;
+
+  private final List<RequestAttempt> attemptsInFlight = new ArrayList<>();
   private Optional<Placer.PendingPlacement> pendingPlacement = Optional.empty();
   private Optional<ScheduledRunnable> timeout = Optional.empty();
 
@@ -96,7 +94,11 @@
     this.fingerprint = Suppliers.memoize(request::fingerprint);
     this.lostAttempts =
         new LostAttempts(reactor, connections, linkMonitor, services.crashGuard(), fingerprint);
-    this.relay = new RequestRelay(services.relayNetwork(), request, configVersion, trace);
+    this.relay =
+        Suppliers.memoize(
+            () ->
+                new RequestRelay(
+                    services.relayNetwork(), request, configVersion, trace, this::onRelayResult));
     this.attemptBudget = new AttemptBudget(request);
   }
 
@@ -175,7 +177,7 @@
 
   /** Relays the request to another VM; returns whether that was decided. */
   private boolean startRelay() {
-    if (relaying || !attemptBudget.hasAttempt() || !relay.hasVm()) {
+    if (relaying || !attemptBudget.hasAttempt() || !relay.get().hasVm()) {
       return false;
     }
     switch (attemptBudget.nextUse()) {
@@ -189,7 +191,7 @@
       case NOT_SENT_BEFORE -> {}
     }
     relaying = true;
-    relay.start(attemptBudget.handOver(), this::onRelayResult);
+    relay.get().start(attemptBudget.handOver());
     return true;
   }
 
@@ -244,7 +246,7 @@
     boolean waiting = pendingPlacement.isPresent();
     pendingPlacement.ifPresent(Placer.PendingPlacement::cancel);
     pendingPlacement = Optional.empty();
-    for (EndpointAttempt attempt : ImmutableList.copyOf(attemptsInFlight)) {
+    for (RequestAttempt attempt : ImmutableList.copyOf(attemptsInFlight)) {
       if (attempt.connection().isConnecting()) {
         waiting = true;
         attemptsInFlight.remove(attempt);
@@ -265,9 +267,6 @@
     }
   }
 
-  @Override
-  public void onReachedAgain() {}
-
   /** Ends the request if it is blocked, as it has ended several endpoints. */
   private boolean rejectBlocked() {
     Optional<RequestBlock> block = services.crashGuard().findBlock(fingerprint);
@@ -317,39 +316,25 @@
     byte[] bytes =
         RequestEncoder.encode(
             request, endpoint, services.headerNames(), Math.max(1, remainingMillis));
-    Optional<EndpointConnection> idle =
-        connections.acquireIdle(endpoint.address(), System.nanoTime(), request.rule().idempotent());
     triedEndpoints.add(endpoint.id());
-    Optional<EndpointConnection> connection =
-        idle.isPresent()
-            ? idle
-            : connections.create(endpoint.address(), MAX_CONNECTIONS_PER_ENDPOINT);
-    if (connection.isEmpty()) {
+    Optional<EndpointConnectionPool.Sent> sent =
+        connections.send(endpoint.address(), request, bytes);
+    if (sent.isEmpty()) {
       services.placer().release(request.service(), placed, AttemptResult.abandoned());
       failUnlessInFlight(NotRunReasons.NO_LINK);
       return;
     }
     attemptBudget.recordSent();
-    EndpointAttempt current =
-        new EndpointAttempt(services.placer(), request.service(), placed, connection.get(), trace);
+    RequestAttempt current =
+        new RequestAttempt(
+            services.placer(), request.service(), placed, sent.get().connection(), trace);
     attemptsInFlight.add(current);
-    Promise<Either<ConnectionFailure, EndpointResponse>> response;
-    if (idle.isPresent()) {
-      response = connection.get().send(request.id(), request.hasNoResponseBody(), bytes);
-    } else {
-      Duration connectTimeout =
-          Duration.ofMillis(Math.min(CONNECT_TIMEOUT.toMillis(), Math.max(1, remainingMillis)));
-      response =
-          connection
-              .get()
-              .connectAndSend(connectTimeout, request.id(), request.hasNoResponseBody(), bytes);
-    }
     scheduleHedge(current);
     scheduleOverdueCheck(current);
-    response.whenResult(result -> onAttemptResult(current, result));
+    sent.get().response().whenResult(result -> onAttemptResult(current, result));
   }
 
-  private void scheduleOverdueCheck(EndpointAttempt current) {
+  private void scheduleOverdueCheck(RequestAttempt current) {
     long delayMillis =
         Math.max(MIN_HEDGE_DELAY_MILLIS, (long) (OVERDUE_FACTOR * current.expectedMillis()));
     current.addTimer(
@@ -357,7 +342,7 @@
             delayMillis, () -> linkMonitor.recordOverdue(current.startedNanos())));
   }
 
-  private void scheduleHedge(EndpointAttempt current) {
+  private void scheduleHedge(RequestAttempt current) {
     if (!request.rule().idempotent() || !attemptBudget.hasAttempt()) {
       return;
     }
@@ -374,7 +359,7 @@
    * first attempt keeps running: the first response wins, and nothing is lost if no second endpoint
    * is available.
    */
-  private void onHedgeDelay(EndpointAttempt current) {
+  private void onHedgeDelay(RequestAttempt current) {
     if (!attemptsInFlight.contains(current) || attemptsInFlight.size() > 1 || relaying) {
       return;
     }
@@ -385,14 +370,14 @@
     hedge(current);
   }
 
-  private void hedge(EndpointAttempt current) {
+  private void hedge(RequestAttempt current) {
     current.markHedged();
     connections.closeIdle(current.endpoint().address());
     requestPlacement();
   }
 
   private void onAttemptResult(
-      EndpointAttempt current, Either<ConnectionFailure, EndpointResponse> result) {
+      RequestAttempt current, Either<ConnectionFailure, EndpointResponse> result) {
     if (!attemptsInFlight.remove(current)) {
       return;
     }
@@ -424,7 +409,7 @@
     }
   }
 
-  private void onConnectFailed(EndpointAttempt current, ConnectionFailure failure) {
+  private void onConnectFailed(RequestAttempt current, ConnectionFailure failure) {
     RegisteredEndpoint endpoint = current.endpoint();
     trace.add(endpoint.id() + ":" + failure);
     linkMonitor.recordConnectFailed(endpoint, current.startedNanos());
@@ -442,13 +427,13 @@
     requestPlacement();
   }
 
-  private void recordLost(EndpointAttempt current, String how) {
+  private void recordLost(RequestAttempt current, String how) {
     RegisteredEndpoint endpoint = current.endpoint();
     trace.add(endpoint.id() + ":" + how);
     lostAttempts.record(endpoint);
   }
 
-  private void onResponse(EndpointAttempt current, EndpointResponse response) {
+  private void onResponse(RequestAttempt current, EndpointResponse response) {
     if (current.isOnNewConnection()) {
       linkMonitor.recordConnected(current.startedNanos());
     }
@@ -493,7 +478,7 @@
     finish(responded);
   }
 
-  private void returnToPool(EndpointAttempt current) {
+  private void returnToPool(RequestAttempt current) {
     connections.release(current.endpoint().address(), current.connection());
   }
 
@@ -559,9 +544,9 @@
     pendingPlacement = Optional.empty();
     if (relaying) {
       relaying = false;
-      relay.cancel();
+      relay.get().cancel();
     }
-    for (EndpointAttempt current : ImmutableList.copyOf(attemptsInFlight)) {
+    for (RequestAttempt current : ImmutableList.copyOf(attemptsInFlight)) {
       current.cancel();
     }
     attemptsInFlight.clear();
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
@@ -7,11 +7,13 @@
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.vavr.control.Either;
+import java.net.InetAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.entry.traffic.Headers;
@@ -79,10 +81,10 @@
   /**
    * Returns the head of {@code request}, or the reason to reject it.
    *
-   * @param isFromVm whether the request came on a connection of another VM
+   * @param isVm returns whether another VM has an address
    */
   Either<Problem, Head> read(
-      HttpRequest request, GatewayConfig config, long nowNanos, boolean isFromVm) {
+      HttpRequest request, GatewayConfig config, long nowNanos, Predicate<InetAddress> isVm) {
     Optional<Problem> framing = checkFraming(request, config);
     if (framing.isPresent()) {
       return Either.left(framing.get());
@@ -95,9 +97,11 @@
     if (rule.isEmpty()) {
       return Either.left(Problem.NO_ROUTE);
     }
-    String relayText = isFromVm ? request.getHeader(RELAY) : null;
-    Optional<RelayHeader> relay = Optional.ofNullable(relayText).flatMap(RelayHeader::parse);
-    if (relayText != null && relay.isEmpty()) {
+    Optional<String> relayText =
+        Optional.ofNullable(request.getHeader(RELAY))
+            .filter(text -> isVm.test(request.getRemoteAddress()));
+    Optional<RelayHeader> relay = relayText.flatMap(RelayHeader::parse);
+    if (relayText.isPresent() && relay.isEmpty()) {
       return Either.left(Problem.MALFORMED);
     }
     long arrivalNanos =
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
@@ -23,17 +23,14 @@
   /** Subtracted from the deadline sent to the VM, so that its response arrives in time. */
   private static final long RESPONSE_TRANSFER_MARGIN_MILLIS = 5;
 
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
-
   private static final long VM_CHECK_INTERVAL_MILLIS = 250;
 
-  /** After this and a multiple of the latency objective, a connection is taken to be dead. */
+  /** After this, and this multiple of the latency objective, a VM is taken to be silent. */
   private static final long MIN_SILENCE_MILLIS = 2_000;
 
-  private static final int SILENCE_OBJECTIVES = 3;
+  private static final int SILENCE_OBJECTIVE_FACTOR = 3;
 
   private static final int MAX_VMS = 3;
-  private static final int MAX_CONNECTIONS_PER_VM = 64;
   private static final int STATUS_UNAVAILABLE = 503;
 
   /** Why a VM does not serve a request that another VM may serve. */
@@ -49,7 +46,9 @@
   private final CallerRequest request;
   private final ConfigVersion configVersion;
   private final List<String> trace;
+  private final Consumer<Result> onResult;
   private final Set<VmId> tried = new HashSet<>();
+  private int sentAttempts;
   private Optional<Sent> sent = Optional.empty();
 
   /** How the relayed request ended. */
@@ -83,15 +82,24 @@
     }
   }
 
+  /**
+   * Creates a relay that is not started.
+   *
+   * @param configVersion the configuration by which this VM took the request
+   * @param trace receives how each attempt ended, for the request log
+   * @param onResult called once after each start, and later, unless it is cancelled
+   */
   RequestRelay(
       RelayNetwork network,
       CallerRequest request,
       ConfigVersion configVersion,
-      List<String> trace) {
+      List<String> trace,
+      Consumer<Result> onResult) {
     this.network = network;
     this.request = request;
     this.configVersion = configVersion;
     this.trace = trace;
+    this.onResult = onResult;
   }
 
   /** Returns whether there is a VM that may serve the request. */
@@ -106,14 +114,19 @@
   }
 
   /**
-   * Relays the request. {@code onResult} is called once, later, unless {@link #cancel} is.
+   * Relays the request.
    *
-   * @param sentAttempts the attempts that the VM must not use
+   * @param usedAttempts the attempts that the VM must not use
    */
-  void start(int sentAttempts, Consumer<Result> onResult) {
+  void start(int usedAttempts) {
+    sentAttempts = usedAttempts;
+    tryNextVm();
+  }
+
+  private void tryNextVm() {
     Optional<Member> chosen = chooseVm();
     if (chosen.isPresent()) {
-      send(chosen.get(), sentAttempts, onResult);
+      send(chosen.get());
     } else {
       network.reactor().post(() -> onResult.accept(new Result.NoVm()));
     }
@@ -128,57 +141,42 @@
         });
   }
 
-  private void send(Member vm, int sentAttempts, Consumer<Result> onResult) {
+  private void send(Member vm) {
     tried.add(vm.vm());
+    Optional<EndpointConnectionPool.Sent> started =
+        network.connections().send(vm.trafficAddress(), request, encode());
+    if (started.isEmpty()) {
+      trace.add(vm.vm() + ":" + NotRunReasons.NO_LINK);
+      tryNextVm();
+      return;
+    }
     network.selector().recordSent(vm.vm());
+    Sent current = new Sent(vm, started.get().connection());
+    sent = Optional.of(current);
+    scheduleVmCheck(current);
+    started.get().response().whenResult(result -> onResponse(current, result));
+  }
+
+  private byte[] encode() {
     long nowNanos = System.nanoTime();
-    long remainingMillis =
-        Math.max(
-            1,
-            TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos)
-                - RESPONSE_TRANSFER_MARGIN_MILLIS);
+    long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
     RelayHeader header =
         new RelayHeader(
             configVersion.number(),
             sentAttempts,
             TimeUnit.NANOSECONDS.toMillis(nowNanos - request.arrivalNanos()));
-    byte[] bytes =
-        RequestEncoder.encode(
-            request,
-            new HeaderList.Line(RelayHeader.NAME, header.format()),
-            network.headerNames(),
-            remainingMillis);
-    EndpointConnectionPool connections = network.connections();
-    Optional<EndpointConnection> idle =
-        connections.acquireIdle(vm.trafficAddress(), nowNanos, request.rule().idempotent());
-    Optional<EndpointConnection> connection =
-        idle.isPresent() ? idle : connections.create(vm.trafficAddress(), MAX_CONNECTIONS_PER_VM);
-    if (connection.isEmpty()) {
-      network.selector().recordEnded(vm.vm());
-      trace.add(vm.vm() + ":NO_LINK");
-      start(sentAttempts, onResult);
-      return;
-    }
-    Sent current = new Sent(vm, connection.get());
-    sent = Optional.of(current);
-    scheduleVmCheck(current, onResult);
-    Duration connectTimeout =
-        Duration.ofMillis(Math.min(CONNECT_TIMEOUT.toMillis(), remainingMillis));
-    var response =
-        idle.isPresent()
-            ? current.connection.send(request.id(), request.hasNoResponseBody(), bytes)
-            : current.connection.connectAndSend(
-                connectTimeout, request.id(), request.hasNoResponseBody(), bytes);
-    response.whenResult(result -> onResponse(current, sentAttempts, result, onResult));
+    return RequestEncoder.encode(
+        request,
+        new HeaderList.Line(RelayHeader.NAME, header.format()),
+        network.headerNames(),
+        Math.max(1, remainingMillis - RESPONSE_TRANSFER_MARGIN_MILLIS));
   }
 
-  private void scheduleVmCheck(Sent current, Consumer<Result> onResult) {
+  private void scheduleVmCheck(Sent current) {
     if (request.rule().idempotent()) {
       current.vmCheck =
           Optional.of(
-              network
-                  .reactor()
-                  .delayBackground(VM_CHECK_INTERVAL_MILLIS, () -> checkVm(current, onResult)));
+              network.reactor().delayBackground(VM_CHECK_INTERVAL_MILLIS, () -> checkVm(current)));
     }
   }
 
@@ -186,9 +184,9 @@
    * Gives up a VM that is believed dead, or that has responded to nothing on any connection since
    * the request was relayed to it.
    */
-  private void checkVm(Sent current, Consumer<Result> onResult) {
+  private void checkVm(Sent current) {
     if (network.selector().isAlive(current.vm.vm()) && !isSilent(current)) {
-      scheduleVmCheck(current, onResult);
+      scheduleVmCheck(current);
       return;
     }
     cancel();
@@ -201,7 +199,8 @@
   private boolean isSilent(Sent current) {
     long respondedNanos = network.connections().lastResponseNanos(current.vm.trafficAddress());
     long silenceMillis =
-        Math.max(MIN_SILENCE_MILLIS, SILENCE_OBJECTIVES * request.rule().latencyObjectiveMillis());
+        Math.max(
+            MIN_SILENCE_MILLIS, SILENCE_OBJECTIVE_FACTOR * request.rule().latencyObjectiveMillis());
     return respondedNanos - current.startedNanos < 0
         && System.nanoTime() - current.startedNanos >= TimeUnit.MILLISECONDS.toNanos(silenceMillis);
   }
@@ -217,17 +216,13 @@
     trace.add(current.vm.vm() + ":" + how + ":" + elapsedMillis);
   }
 
-  private void onResponse(
-      Sent current,
-      int sentAttempts,
-      Either<ConnectionFailure, EndpointResponse> result,
-      Consumer<Result> onResult) {
+  private void onResponse(Sent current, Either<ConnectionFailure, EndpointResponse> result) {
     if (!sent.equals(Optional.of(current))) {
       return;
     }
     end(current);
     if (result.isLeft()) {
-      onFailure(current, sentAttempts, result.getLeft(), onResult);
+      onFailure(current, result.getLeft());
       return;
     }
     network.connections().release(current.vm.trafficAddress(), current.connection);
@@ -241,13 +236,13 @@
     if (response.status() != STATUS_UNAVAILABLE) {
       onResult.accept(
           RequestOutcome.Unknown.Cause.find(response.status(), reason.get())
-              .map(cause -> (Result) new Result.Unknown(cause))
+              .<Result>map(Result.Unknown::new)
               .orElse(new Result.Responded(response)));
       return;
     }
     if (TRY_ANOTHER_VM.contains(reason.get())) {
       network.selector().recordFailed(System.nanoTime(), current.vm.vm());
-      start(sentAttempts, onResult);
+      tryNextVm();
       return;
     }
     onResult.accept(new Result.NotRun(reason.get(), retryAfterMillis(response)));
@@ -262,13 +257,12 @@
         .orElse(request.rule().latencyObjectiveMillis());
   }
 
-  private void onFailure(
-      Sent current, int sentAttempts, ConnectionFailure failure, Consumer<Result> onResult) {
+  private void onFailure(Sent current, ConnectionFailure failure) {
     recordEnd(current, "RELAY_" + failure);
     switch (failure) {
       case CONNECT_REFUSED, CONNECT_TIMED_OUT -> {
         network.selector().recordFailed(System.nanoTime(), current.vm.vm());
-        start(sentAttempts, onResult);
+        tryNextVm();
       }
       case RESET_AFTER_IDLE -> onResult.accept(new Result.Lost());
       case CONNECTION_LOST, MALFORMED -> {
--- a/entry/src/test/java/org/mustardstage/entry/gateway/CrashExchangeTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/CrashExchangeTest.java
@@ -108,7 +108,8 @@
           new HostAndPort("10.0.0.1", 2),
           new HostAndPort("10.0.0.1", 3),
           /* leaving= */ false,
-          420);
+          420,
+          /* cutOff= */ false);
     }
 
     private void send(Member to, PeerMessage message) {
