Let VMs of several releases run side by side: each is sent only what its release knows

Cause: the codec took a frame for malformed when a kind or a field was unknown, and closed the link.

A VM sends to another one what that one's release knows (WireLayouts), learned from hello, whose frame carries the payload in the layout of release 1 and then whole; earlier releases ignore elements behind the payload. Unknown fields are ignored, frames that can't be decoded are skipped, counted and logged at most once in 10 s, and the link stays. Members and rows of vms say their release, by which VMs that don't know relayed requests are left out as relays. The build is in hello's log line.

Changed test: PeerNetworkTest.malformedFrameClosesItsLinkOnly said that a malformed frame closes its link. That stays for a sender that has not introduced itself (the case that it played, now named so); a VM that has introduced itself keeps its link, which framesThatCannotBeDecodedAreSkipped checks.

--- a/core/src/main/java/org/mustardstage/core/member/Member.java
+++ b/core/src/main/java/org/mustardstage/core/member/Member.java
@@ -18,6 +18,7 @@
  * @param leaving whether it has announced that it is leaving
  * @param milliCores its processor capacity, in thousandths of a core
  * @param cutOff whether it has announced that it reaches no endpoint
+ * @param release the release of the protocol between VMs that it speaks, as far as is known
  */
 public record Member(
     VmIncarnation incarnation,
@@ -28,11 +29,12 @@
     HostAndPort adminAddress,
     boolean leaving,
     int milliCores,
-    boolean cutOff) {
+    boolean cutOff,
+    int release) {
   /** The capacity assumed for a VM that does not report one. */
   public static final int DEFAULT_MILLI_CORES = 1_000;
 
-  /** Creates a member with {@link #DEFAULT_MILLI_CORES} that reaches endpoints. */
+  /** Creates a member of this release with {@link #DEFAULT_MILLI_CORES} that reaches endpoints. */
   public Member(
       VmIncarnation incarnation,
       ZoneId zone,
@@ -50,7 +52,8 @@
         adminAddress,
         leaving,
         DEFAULT_MILLI_CORES,
-        /* cutOff= */ false);
+        /* cutOff= */ false,
+        PeerRelease.CURRENT);
   }
 
   /** Returns the VM without its incarnation number. */
@@ -69,7 +72,8 @@
         adminAddress,
         leaving,
         milliCores,
-        cutOff);
+        cutOff,
+        release);
   }
 
   /** Returns a copy of this member that is marked as leaving. */
@@ -83,7 +87,8 @@
         adminAddress,
         /* leaving= */ true,
         milliCores,
-        cutOff);
+        cutOff,
+        release);
   }
 
   /** Returns a copy of this member that reaches no endpoint, or reaches endpoints again. */
@@ -97,6 +102,22 @@
         adminAddress,
         leaving,
         milliCores,
-        newCutOff);
+        newCutOff,
+        release);
+  }
+
+  /** Returns a copy of this member that speaks another release of the protocol. */
+  public Member withRelease(int newRelease) {
+    return new Member(
+        incarnation,
+        zone,
+        region,
+        trafficAddress,
+        peerAddress,
+        adminAddress,
+        leaving,
+        milliCores,
+        cutOff,
+        newRelease);
   }
 }
--- a/core/src/main/java/org/mustardstage/core/member/PeerState.java
+++ b/core/src/main/java/org/mustardstage/core/member/PeerState.java
@@ -45,6 +45,13 @@
     }
   }
 
+  /** Records the release that the VM speaks; sources that don't know it say an earlier one. */
+  void recordRelease(int release) {
+    if (release > member.release()) {
+      member = member.withRelease(release);
+    }
+  }
+
   void replaceMember(Member newerMember) {
     member = newerMember;
   }
--- a/core/src/main/java/org/mustardstage/core/member/ZonePeers.java
+++ b/core/src/main/java/org/mustardstage/core/member/ZonePeers.java
@@ -40,6 +40,9 @@
       return true;
     }
     long currentNumber = current.member().incarnation().number();
+    if (member.incarnation().number() == currentNumber) {
+      current.recordRelease(member.release());
+    }
     if (member.incarnation().number() <= currentNumber) {
       return false;
     }
--- a/core/src/main/java/org/mustardstage/core/placement/RelaySelector.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RelaySelector.java
@@ -15,6 +15,7 @@
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
+import org.mustardstage.core.member.PeerRelease;
 
 /**
  * Chooses the VM to which this VM relays a request while it is cut off from the endpoints.
@@ -22,7 +23,8 @@
  * <p>Handles the cut of many VMs at once, also of most of a zone: relayed requests are spread over
  * all VMs of the region, as the few that are left in the zone could not carry them. Of two VMs
  * drawn at random, the one with fewer relayed requests in flight is chosen. A request whose rule
- * names regions is relayed to these only.
+ * names regions is relayed to these only. VMs of an earlier release that does not know relayed
+ * requests are left out.
  */
 public final class RelaySelector {
   /** A VM that failed is probably gone, or cut off itself, which the members show within this. */
@@ -55,6 +57,7 @@
             view.statuses().stream()
                 .filter(MemberStatus::reachesEndpoints)
                 .map(MemberStatus::member)
+                .filter(member -> member.release() >= PeerRelease.RELAYED_REQUESTS)
                 .filter(member -> !member.vm().equals(self))
                 .filter(member -> !view.isInSilentZone(member))
                 .toList());
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -28,6 +28,7 @@
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.Membership;
 import org.mustardstage.core.member.MembershipSettings;
+import org.mustardstage.core.member.PeerRelease;
 import org.mustardstage.core.placement.EndpointIncarnation;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.EndpointLimits;
@@ -126,7 +127,8 @@
             settings.metricsAddress(),
             /* leaving= */ false,
             settings.milliCores(),
-            /* cutOff= */ false);
+            /* cutOff= */ false,
+            PeerRelease.CURRENT);
     this.eventloop =
         Eventloop.builder()
             .withThreadName("control")
--- a/entry/src/main/java/org/mustardstage/entry/peer/LinkStats.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/LinkStats.java
@@ -9,6 +9,8 @@
   private long sentBytes;
   private long receivedMessages;
   private long receivedBytes;
+  private long skippedFrames;
+  private long unsentMessages;
 
   void onSent(int frameBytes) {
     sentMessages++;
@@ -20,6 +22,24 @@
     receivedBytes += frameBytes;
   }
 
+  void onSkipped() {
+    skippedFrames++;
+  }
+
+  void onNotSent() {
+    unsentMessages++;
+  }
+
+  /** Returns the number of received frames that could not be decoded. */
+  public long skippedFrames() {
+    return skippedFrames;
+  }
+
+  /** Returns the number of messages that were not sent as their receiver does not know the kind. */
+  public long unsentMessages() {
+    return unsentMessages;
+  }
+
   /** Returns the number of messages sent. */
   public long sentMessages() {
     return sentMessages;
--- a/entry/src/main/java/org/mustardstage/entry/peer/MemberMessageMapper.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MemberMessageMapper.java
@@ -12,6 +12,7 @@
 import org.mustardstage.core.member.DigestVersion;
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberMessage;
+import org.mustardstage.core.member.PeerRelease;
 import org.mustardstage.schema.generated.WireDigestCounter;
 import org.mustardstage.schema.generated.WireDigestSummary;
 import org.mustardstage.schema.generated.WireDigests;
@@ -82,7 +83,8 @@
         .withAdminPort((long) member.adminAddress().port())
         .withLeaving(member.leaving())
         .withMilliCores((long) member.milliCores())
-        .withCutOff(member.cutOff());
+        .withCutOff(member.cutOff())
+        .withRelease((long) member.release());
   }
 
   static MemberMessage fromWire(WireHeartbeat wire) {
@@ -134,6 +136,17 @@
         new HostAndPort(wire.getHost(), Math.toIntExact(wire.getAdminPort())),
         wire.getLeaving(),
         Math.toIntExact(wire.getMilliCores()),
-        Boolean.TRUE.equals(wire.getCutOff()));
+        Boolean.TRUE.equals(wire.getCutOff()),
+        releaseOf(wire));
+  }
+
+  /**
+   * Returns the release that a VM speaks, which only later ones say, by the fields that it sent.
+   */
+  private static int releaseOf(WireMember wire) {
+    if (wire.getRelease() != null) {
+      return Math.toIntExact(wire.getRelease());
+    }
+    return wire.getCutOff() == null ? PeerRelease.FIRST : PeerRelease.RELAYED_REQUESTS;
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -3,18 +3,17 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.primitives.Bytes;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
-import org.msgpack.jackson.dataformat.JsonArrayFormat;
-import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.member.MemberMessage;
+import org.mustardstage.core.member.PeerRelease;
 import org.mustardstage.core.placement.EndpointIncarnation;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.LostAttempt;
@@ -57,41 +56,70 @@
 /**
  * Encodes messages as the content of frames and decodes them. The content is a MessagePack array of
  * the protocol version, the number of the message kind, the correlation id and the payload. A
- * payload is an array of its fields in the order of the schema.
+ * payload is an array of its fields in the order of the schema, as far as the release of the
+ * receiver knows them.
+ *
+ * <p>{@link PeerMessage.Hello} is sent before the release of the receiver is known. Its frame has
+ * the payload twice: first as release {@link PeerRelease#FIRST} knows it, and then whole. Releases
+ * before 3 ignore what follows the first payload.
  */
 public final class PeerCodec {
   /** The protocol version of encoded frames, and the only one that is decoded. */
   public static final int PROTOCOL_VERSION = 1;
 
-  private static final ObjectMapper MAPPER = newMapper();
+  private static final int FRAME_ELEMENTS = 4;
 
-  private PeerCodec() {}
+  /** The first byte of a MessagePack array of up to 15 elements, without their number. */
+  private static final int FIXARRAY_PREFIX = 0x90;
 
-  private static ObjectMapper newMapper() {
-    ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
-    mapper.setAnnotationIntrospector(new JsonArrayFormat());
-    return mapper;
-  }
+  private PeerCodec() {}
 
   /** A message with its correlation id. */
   public record Frame(long correlationId, PeerMessage message) {}
 
-  /** Returns the content of the frame that carries {@code message}. */
-  public static byte[] encode(long correlationId, PeerMessage message) {
+  /**
+   * Returns the content of the frame that carries {@code message} to a VM that speaks {@code
+   * release}; empty if that release does not know the kind of message.
+   */
+  public static Optional<byte[]> encode(long correlationId, PeerMessage message, int release) {
     Object payload = toWire(message);
     int kind = MessageKind.forPayload(payload).number();
+    if (!WireLayouts.isKnownTo(release, payload.getClass())) {
+      return Optional.empty();
+    }
     try {
-      return MAPPER.writeValueAsBytes(
-          new Object[] {PROTOCOL_VERSION, kind, correlationId, payload});
+      if (message instanceof PeerMessage.Hello) {
+        byte[] first = write(PeerRelease.FIRST, PROTOCOL_VERSION, kind, correlationId, payload);
+        return Optional.of(appendElement(first, WireLayouts.current().writeValueAsBytes(payload)));
+      }
+      return Optional.of(write(release, PROTOCOL_VERSION, kind, correlationId, payload));
     } catch (JsonProcessingException e) {
       throw new IllegalStateException("can't encode a wire class as MessagePack", e);
     }
   }
 
+  /** Returns the content of the frame for a VM of this release. */
+  public static byte[] encode(long correlationId, PeerMessage message) {
+    return encode(correlationId, message, PeerRelease.CURRENT).orElseThrow();
+  }
+
+  private static byte[] write(int release, Object... frame) throws JsonProcessingException {
+    return WireLayouts.forRelease(release).writeValueAsBytes(frame);
+  }
+
+  /** Appends an encoded element to an encoded array of {@link #FRAME_ELEMENTS} elements. */
+  private static byte[] appendElement(byte[] frame, byte[] element) {
+    byte[] longer = Bytes.concat(frame, element);
+    longer[0] = (byte) (FIXARRAY_PREFIX | (FRAME_ELEMENTS + 1));
+    return longer;
+  }
+
   private static Object toWire(PeerMessage message) {
     return switch (message) {
       case PeerMessage.Hello hello ->
-          new WireHello().withMember(MemberMessageMapper.toWire(hello.member()));
+          new WireHello()
+              .withMember(MemberMessageMapper.toWire(hello.member()))
+              .withBuild(hello.build().orElse(null));
       case PeerMessage.Membership membership -> MemberMessageMapper.toWire(membership.message());
       case PeerMessage.Permits permit -> PermitMessageMapper.toWire(permit.message());
       case PeerMessage.ConfigAnnounce announce ->
@@ -196,7 +224,7 @@
       return Either.left(
           new FrameProblem.Malformed("frame is not exactly one complete MessagePack value"));
     }
-    try (JsonParser parser = MAPPER.createParser(content)) {
+    try (JsonParser parser = WireLayouts.current().createParser(content)) {
       return decode(parser);
     } catch (IOException | RuntimeException e) {
       return Either.left(new FrameProblem.Malformed(String.valueOf(e.getMessage())));
@@ -232,10 +260,17 @@
       return Either.left(new FrameProblem.UnknownKind(number));
     }
     parser.nextToken();
-    Object payload = MAPPER.readValue(parser, kind.get().payloadClass());
+    Object payload = readPayload(parser, kind.get());
+    if (kind.get() == MessageKind.HELLO && parser.nextToken() == JsonToken.START_ARRAY) {
+      payload = readPayload(parser, kind.get());
+    }
     return Either.right(new Frame(correlationId, fromWire(payload)));
   }
 
+  private static Object readPayload(JsonParser parser, MessageKind kind) throws IOException {
+    return WireLayouts.current().readValue(parser, kind.payloadClass());
+  }
+
   private static int nextInt(JsonParser parser) throws IOException {
     parser.nextToken();
     return parser.getIntValue();
@@ -248,7 +283,9 @@
 
   private static PeerMessage fromWire(Object payload) {
     return switch (payload) {
-      case WireHello w -> new PeerMessage.Hello(MemberMessageMapper.fromWire(w.getMember()));
+      case WireHello w ->
+          new PeerMessage.Hello(
+              MemberMessageMapper.fromWire(w.getMember()), Optional.ofNullable(w.getBuild()));
       case WireConfigAnnounce w ->
           new PeerMessage.ConfigAnnounce(new ConfigVersion(w.getVersion()), w.getRootHash());
       case WireRowsWanted w ->
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerLink.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.mustardstage.core.member.Member;
+import org.mustardstage.core.member.PeerRelease;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
 
@@ -32,6 +33,7 @@
   private final Listener listener;
   private final LinkStats stats;
   private Optional<Member> remote = Optional.empty();
+  private Optional<String> build = Optional.empty();
   private long lastReceivedNanos;
   private long unwrittenBytes;
   private boolean closed;
@@ -41,8 +43,8 @@
     /** Handles a received message. The first one on a link is {@link PeerMessage.Hello}. */
     void onMessage(PeerLink link, PeerCodec.Frame frame);
 
-    /** Reports a frame that could not be decoded. The link is closed after this call. */
-    void onBadFrame(PeerLink link, FrameProblem problem);
+    /** Reports a frame that could not be decoded. The link goes on with the next frame. */
+    void onBadFrame(PeerLink link, FrameProblem problem, int contentBytes);
 
     /** Cleans up after a link that was closed, by either side. */
     void onClosed(PeerLink link);
@@ -60,8 +62,14 @@
     return remote;
   }
 
-  void identify(Member member) {
+  void identify(Member member, Optional<String> remoteBuild) {
     remote = Optional.of(member);
+    build = remoteBuild;
+  }
+
+  /** Returns the source from which the remote VM was built, if it said so. */
+  Optional<String> build() {
+    return build;
   }
 
   long lastReceivedNanos() {
@@ -95,19 +103,26 @@
     byte[] content = buf.asArray();
     stats.onReceived(content.length + LENGTH_PREFIX_BYTES);
     Either<FrameProblem, PeerCodec.Frame> decoded = PeerCodec.decode(content);
-    if (decoded.isLeft()) {
-      listener.onBadFrame(this, decoded.getLeft());
-      close();
-      return;
+    if (decoded.isRight()) {
+      listener.onMessage(this, decoded.get());
+    } else {
+      stats.onSkipped();
+      listener.onBadFrame(this, decoded.getLeft(), content.length);
     }
-    listener.onMessage(this, decoded.get());
     if (!closed) {
       readNextFrame();
     }
   }
 
+  /** Sends a message, unless the release of the remote VM does not know messages of its kind. */
   void send(long correlationId, PeerMessage message) {
-    byte[] content = PeerCodec.encode(correlationId, message);
+    int release = remote.map(Member::release).orElse(PeerRelease.FIRST);
+    Optional<byte[]> encoded = PeerCodec.encode(correlationId, message, release);
+    if (encoded.isEmpty()) {
+      stats.onNotSent();
+      return;
+    }
+    byte[] content = encoded.get();
     int frameBytes = content.length + LENGTH_PREFIX_BYTES;
     if (closed || unwrittenBytes + frameBytes > MAX_UNWRITTEN_BYTES) {
       close();
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
@@ -15,8 +15,13 @@
 
 /** A message between entry VMs. */
 public sealed interface PeerMessage {
-  /** Introduces the sender. It is the first message on a link, in both directions. */
-  record Hello(Member member) implements PeerMessage {}
+  /**
+   * Introduces the sender. It is the first message on a link, in both directions.
+   *
+   * @param member the sender
+   * @param build the source from which the sender was built; empty if it does not say
+   */
+  record Hello(Member member, Optional<String> build) implements PeerMessage {}
 
   /** Carries a message of the membership protocol. */
   record Membership(MemberMessage message) implements PeerMessage {}
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerNetwork.java
@@ -39,6 +39,9 @@
   /** Bounds the messages that wait for a connection to be opened. Further messages are dropped. */
   private static final int MAX_QUEUED_MESSAGES_PER_ADDRESS = 256;
 
+  /** Bounds the log lines about frames that can't be decoded, whatever other VMs send. */
+  private static final long BAD_FRAME_LOG_INTERVAL_NANOS = Duration.ofSeconds(10).toNanos();
+
   private final NioReactor reactor;
   private final Supplier<Member> self;
   private final LongSupplier clock;
@@ -56,6 +59,7 @@
   private final Map<HostAndPort, Long> lastConnectNanos = new HashMap<>();
   private final SimpleServer server;
   private long nextCorrelationId = 1;
+  private long lastBadFrameLogNanos;
   private boolean stopped;
 
   /**
@@ -82,6 +86,7 @@
     this.self = self;
     this.clock = clock;
     this.receiver = receiver;
+    this.lastBadFrameLogNanos = clock.getAsLong() - BAD_FRAME_LOG_INTERVAL_NANOS;
     HostAndPort address = self.get().peerAddress();
     this.server =
         SimpleServer.builder(reactor, this::accept)
@@ -123,7 +128,7 @@
   private PeerLink openLink(ITcpSocket socket) {
     PeerLink link = new PeerLink(socket, this, stats, clock.getAsLong());
     unidentifiedLinks.add(link);
-    link.send(nextCorrelationId++, new PeerMessage.Hello(self.get()));
+    link.send(nextCorrelationId++, new PeerMessage.Hello(self.get(), Build.commit()));
     link.startReading();
     return link;
   }
@@ -200,16 +205,24 @@
   public void onMessage(PeerLink link, PeerCodec.Frame frame) {
     link.recordReceipt(clock.getAsLong());
     switch (frame.message()) {
-      case PeerMessage.Hello hello -> onHello(link, hello.member());
+      case PeerMessage.Hello hello -> onHello(link, hello);
       default -> onIdentifiedMessage(link, frame.message());
     }
   }
 
-  private void onHello(PeerLink link, Member member) {
+  private void onHello(PeerLink link, PeerMessage.Hello hello) {
+    Member member = hello.member();
     unidentifiedLinks.remove(link);
-    link.identify(member);
+    link.identify(member, hello.build());
     links.computeIfAbsent(member.vm(), key -> new ArrayList<>()).add(link);
-    EventLog.log(Event.LINK_OPENED, "vm", member.incarnation());
+    EventLog.log(
+        Event.LINK_OPENED,
+        "vm",
+        member.incarnation(),
+        "release",
+        member.release(),
+        "build",
+        hello.build());
     sendQueued(link, member);
     receiver.onHello(member);
   }
@@ -230,16 +243,42 @@
   private void onIdentifiedMessage(PeerLink link, PeerMessage message) {
     Optional<Member> from = link.remote();
     if (from.isEmpty()) {
-      onBadFrame(link, new FrameProblem.Malformed("the first message on the link is not hello"));
-      link.close();
+      onBadFrame(
+          link,
+          new FrameProblem.Malformed("the first message on the link is not hello"),
+          /* contentBytes= */ 0);
       return;
     }
     receiver.onMessage(from.get(), message);
   }
 
+  /**
+   * Logs a frame that could not be decoded, at most one in {@link #BAD_FRAME_LOG_INTERVAL_NANOS}. A
+   * VM that has not introduced itself is disconnected, as it may be no VM at all.
+   */
   @Override
-  public void onBadFrame(PeerLink link, FrameProblem problem) {
-    EventLog.log(Event.BAD_FRAME, "vm", link.remote().map(Member::incarnation), "why", problem);
+  public void onBadFrame(PeerLink link, FrameProblem problem, int contentBytes) {
+    long nowNanos = clock.getAsLong();
+    if (nowNanos - lastBadFrameLogNanos >= BAD_FRAME_LOG_INTERVAL_NANOS) {
+      lastBadFrameLogNanos = nowNanos;
+      EventLog.log(
+          Event.BAD_FRAME,
+          "vm",
+          link.remote().map(Member::incarnation),
+          "release",
+          link.remote().map(Member::release),
+          "build",
+          link.build(),
+          "bytes",
+          contentBytes,
+          "skippedSoFar",
+          stats.skippedFrames(),
+          "why",
+          problem);
+    }
+    if (link.remote().isEmpty()) {
+      link.close();
+    }
   }
 
   @Override
