Write the first payload of a hello without a mapper for release 1

Cause: each VM sends a hello before it knows the other's release, so each VM read the schema of the messages at its start to make the mapper for release 1, which was meant only for VMs beside earlier ones. Change: the first payload is written field by field. PeerReleasesTest holds it against the recorded frame of release 1. Result: Peer*Test green; the processor time of a start was not measured before and after.

--- a/entry/src/main/java/org/mustardstage/entry/peer/MemberMessageMapper.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MemberMessageMapper.java
@@ -87,6 +87,26 @@
         .withRelease((long) member.release());
   }
 
+  /**
+   * Returns the payload of a hello in the layout of release 1. It is needed for each link, so it is
+   * written here instead of by a mapper for that release.
+   */
+  static List<Object> toFirstHello(Member member) {
+    List<Object> fields =
+        List.of(
+            member.vm().value(),
+            member.incarnation().number(),
+            member.zone().value(),
+            member.region().value(),
+            member.trafficAddress().host(),
+            member.trafficAddress().port(),
+            member.peerAddress().port(),
+            member.adminAddress().port(),
+            member.leaving(),
+            member.milliCores());
+    return List.of(fields);
+  }
+
   static MemberMessage fromWire(WireHeartbeat wire) {
     return new MemberMessage.Heartbeat(
         wire.getLeaving(),
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -88,8 +88,14 @@
       return Optional.empty();
     }
     try {
-      if (message instanceof PeerMessage.Hello) {
-        byte[] first = write(PeerRelease.FIRST, PROTOCOL_VERSION, kind, correlationId, payload);
+      if (message instanceof PeerMessage.Hello hello) {
+        byte[] first =
+            write(
+                PeerRelease.CURRENT,
+                PROTOCOL_VERSION,
+                kind,
+                correlationId,
+                MemberMessageMapper.toFirstHello(hello.member()));
         return Optional.of(appendElement(first, WireLayouts.current().writeValueAsBytes(payload)));
       }
       return Optional.of(write(release, PROTOCOL_VERSION, kind, correlationId, payload));
