Add tenants and keys to the configuration's types: the interfaces of the parts for hard load

Change: core.tenant holds tenants, quotas and the directory by key; the configuration, rules, requests and placements carry them. Nothing fills them yet, so behaviour is the same; a tenant's priority goes before the rule's.

--- a/core/src/main/java/org/mustardstage/core/gateway/GatewayConfig.java
+++ b/core/src/main/java/org/mustardstage/core/gateway/GatewayConfig.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.tenant.TenantDirectory;
 
 /**
  * One version of the configuration that operators declare. A lookup of a rule takes one hash probe
@@ -19,6 +20,16 @@
   private final CallerLimits callerLimits;
   private final ImmutableMap<ServiceName, ServiceSpec> services;
   private final ImmutableMap<String, ImmutableMap<String, RoutingRule>> rulesByHost;
+  private final TenantDirectory tenants;
+
+  /** Creates a configuration without tenants. */
+  public GatewayConfig(
+      ConfigVersion version,
+      CallerLimits callerLimits,
+      Collection<ServiceSpec> services,
+      Map<String, List<RoutingRule>> rulesByHost) {
+    this(version, callerLimits, services, rulesByHost, TenantDirectory.EMPTY);
+  }
 
   /**
    * Creates a configuration.
@@ -30,8 +41,10 @@
       ConfigVersion version,
       CallerLimits callerLimits,
       Collection<ServiceSpec> services,
-      Map<String, List<RoutingRule>> rulesByHost) {
+      Map<String, List<RoutingRule>> rulesByHost,
+      TenantDirectory tenants) {
     this.version = version;
+    this.tenants = tenants;
     this.callerLimits = callerLimits;
     ImmutableMap.Builder<ServiceName, ServiceSpec> byName = ImmutableMap.builder();
     services.forEach(service -> byName.put(service.name(), service));
@@ -62,6 +75,11 @@
     return services;
   }
 
+  /** Returns the tenants whose callers may send requests. */
+  public TenantDirectory tenants() {
+    return tenants;
+  }
+
   /** Returns whether any rule is declared for {@code host}. */
   public boolean hasHost(String host) {
     return rulesByHost.containsKey(normalize(host));
--- a/core/src/main/java/org/mustardstage/core/gateway/RoutingRule.java
+++ b/core/src/main/java/org/mustardstage/core/gateway/RoutingRule.java
@@ -20,6 +20,7 @@
  * @param timeoutMillis the longest time that a caller waits for a response
  * @param maxAttempts the maximum number of endpoints that one request may be sent to
  * @param allowedRegions the regions that may serve the requests; empty means any
+ * @param anonymous whether requests need no API key even if the configuration has tenants
  */
 public record RoutingRule(
     String name,
@@ -31,7 +32,8 @@
     List<WeightedService> destinations,
     long timeoutMillis,
     int maxAttempts,
-    Set<RegionId> allowedRegions) {
+    Set<RegionId> allowedRegions,
+    boolean anonymous) {
   /** Copies the collections and checks the values. */
   public RoutingRule {
     destinations = ImmutableList.copyOf(destinations);
@@ -53,6 +55,32 @@
         name);
   }
 
+  /** Creates a rule whose requests need an API key if the configuration has tenants. */
+  public RoutingRule(
+      String name,
+      String pathPrefix,
+      boolean idempotent,
+      long latencyObjectiveMillis,
+      int priority,
+      boolean affinity,
+      List<WeightedService> destinations,
+      long timeoutMillis,
+      int maxAttempts,
+      Set<RegionId> allowedRegions) {
+    this(
+        name,
+        pathPrefix,
+        idempotent,
+        latencyObjectiveMillis,
+        priority,
+        affinity,
+        destinations,
+        timeoutMillis,
+        maxAttempts,
+        allowedRegions,
+        /* anonymous= */ false);
+  }
+
   /** Returns whether the requests may be served in {@code region}. */
   public boolean allowsRegion(RegionId region) {
     return allowedRegions.isEmpty() || allowedRegions.contains(region);
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -52,7 +52,7 @@
   private static final double MIN_RETRY_SPREAD = 0.75;
 
   private static final Comparator<SchedulerRequest> BY_PRIORITY =
-      Comparator.<SchedulerRequest>comparingInt(request -> request.rule().priority())
+      Comparator.<SchedulerRequest>comparingInt(SchedulerRequest::priority)
           .thenComparingLong(SchedulerRequest::objectiveDeadlineNanos)
           .thenComparingLong(SchedulerRequest::id);
 
@@ -191,7 +191,7 @@
   }
 
   private int slotsInOwnRegion(SchedulerRequest request) {
-    return request.rule().allowsRegion(roundTrips.ownRegion()) ? ownRegionSlots : 0;
+    return request.allowsRegion(roundTrips.ownRegion()) ? ownRegionSlots : 0;
   }
 
   private boolean isInOwnRegion(EndpointState state) {
@@ -360,7 +360,7 @@
   private long restMillis(long nowNanos, SchedulerRequest request) {
     long restNanos =
         usableEndpoints.stream()
-            .filter(state -> request.rule().allowsRegion(regionOf(state)))
+            .filter(state -> request.allowsRegion(regionOf(state)))
             .mapToLong(state -> Math.max(0, state.restUntilNanos() - nowNanos))
             .min()
             .orElse(0);
@@ -517,7 +517,7 @@
         || !endpointLimits.allowsRequest(nowNanos, state.endpoint())) {
       return false;
     }
-    if (!request.rule().allowsRegion(regionOf(state))) {
+    if (!request.allowsRegion(regionOf(state))) {
       return false;
     }
     return !state.isCold(nowNanos)
--- a/core/src/test/java/org/mustardstage/core/placement/LoadSimulation.java
+++ b/core/src/test/java/org/mustardstage/core/placement/LoadSimulation.java
@@ -340,6 +340,7 @@
         new SchedulerRequest(
             nextRequestId++,
             request.type().rule(),
+            Optional.empty(),
             Optional.of(request.affinityKey()),
             nowNanos,
             nowNanos + request.type().rule().latencyObjectiveMillis() * NANOS_PER_MILLI,
--- a/core/src/test/java/org/mustardstage/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/mustardstage/core/placement/PlacementFixtures.java
@@ -102,6 +102,7 @@
     return new SchedulerRequest(
         id,
         rule,
+        Optional.empty(),
         Optional.of(affinityKey),
         nowNanos,
         nowNanos + rule.latencyObjectiveMillis() * NANOS_PER_MILLI,
--- a/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
@@ -72,6 +72,7 @@
                 nextId++,
                 READ,
                 Optional.empty(),
+                Optional.empty(),
                 nowNanos,
                 nowNanos + NANOS_PER_SECOND,
                 nowNanos + NANOS_PER_SECOND,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
@@ -6,12 +6,14 @@
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.placement.RequestFingerprint;
+import org.mustardstage.core.tenant.Tenant;
 
 /**
  * A request of a caller, with its complete body.
  *
  * @param id the request id that the caller chose
  * @param rule the routing rule that the request matches
+ * @param tenant the tenant whose caller sent it; empty if the request needs no key
  * @param service the service that the request is sent to
  * @param affinityKey the key whose requests are kept together, if the rule has affinity
  * @param method the HTTP method
@@ -27,6 +29,7 @@
 record CallerRequest(
     String id,
     RoutingRule rule,
+    Optional<Tenant> tenant,
     ServiceName service,
     Optional<String> affinityKey,
     HttpMethod method,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -190,6 +190,7 @@
         new SchedulerRequest(
             id,
             request.rule(),
+            request.tenant(),
             request.affinityKey(),
             request.arrivalNanos(),
             request.objectiveDeadlineNanos(),
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -106,6 +106,7 @@
                   new CallerRequest(
                       head.get().id(),
                       head.get().rule(),
+                      head.get().tenant(),
                       service,
                       head.get().affinityKey(),
                       method,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/PlacementRequest.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/PlacementRequest.java
@@ -6,12 +6,14 @@
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.tenant.Tenant;
 
 /**
  * A request of the traffic thread for an endpoint that runs a caller's request.
  *
  * @param service the service that the request is sent to
  * @param rule the routing rule that the request matches
+ * @param tenant the tenant whose caller sent it; empty if the request needs no key
  * @param affinityKey the key whose requests run faster at the same endpoint, if the rule has
  *     affinity
  * @param arrivalNanos when the request arrived
@@ -23,6 +25,7 @@
 record PlacementRequest(
     ServiceName service,
     RoutingRule rule,
+    Optional<Tenant> tenant,
     Optional<String> affinityKey,
     long arrivalNanos,
     long objectiveDeadlineNanos,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -160,6 +160,7 @@
                 new PlacementRequest(
                     request.service(),
                     request.rule(),
+                    request.tenant(),
                     request.affinityKey(),
                     request.arrivalNanos(),
                     objectiveDeadlineNanos,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
@@ -16,6 +16,7 @@
 import java.util.function.Predicate;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RoutingRule;
+import org.mustardstage.core.tenant.Tenant;
 import org.mustardstage.entry.traffic.Headers;
 
 /** Validates the head of a caller's request, matches it to a rule and determines its deadline. */
@@ -63,6 +64,7 @@
    *
    * @param id the request id that the caller chose, or an empty string
    * @param rule the routing rule that the request matches
+   * @param tenant the tenant whose caller sent it; empty if the request needs no key
    * @param affinityKey the key whose requests are kept together, if the rule has affinity
    * @param headers the headers that are forwarded to the endpoint
    * @param arrivalNanos when the request arrived at the first VM
@@ -72,6 +74,7 @@
   record Head(
       String id,
       RoutingRule rule,
+      Optional<Tenant> tenant,
       Optional<String> affinityKey,
       HeaderList headers,
       long arrivalNanos,
@@ -111,6 +114,7 @@
         new Head(
             id == null ? "" : id,
             rule.get(),
+            /* tenant= */ Optional.empty(),
             rule.get().affinity() ? affinityKeyOf(request) : Optional.empty(),
             forwardedHeaders(request),
             arrivalNanos,
--- a/entry/src/test/java/org/mustardstage/entry/gateway/AttemptBudgetTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/AttemptBudgetTest.java
@@ -36,6 +36,7 @@
         new CallerRequest(
             "r-1",
             rule,
+            Optional.empty(),
             SERVICE,
             Optional.empty(),
             HttpMethod.GET,
