--- a/core/src/main/java/org/mustardstage/core/gateway/RoutingRule.java
+++ b/core/src/main/java/org/mustardstage/core/gateway/RoutingRule.java
@@ -21,6 +21,7 @@
  * @param maxAttempts the maximum number of endpoints that one request may be sent to
  * @param allowedRegions the regions that may serve the requests; empty means any
  * @param anonymous whether requests need no API key even if the configuration has tenants
+ * @param largeResponses whether responses are expected to be too large to be held whole
  */
 public record RoutingRule(
     String name,
@@ -33,7 +34,8 @@
     long timeoutMillis,
     int maxAttempts,
     Set<RegionId> allowedRegions,
-    boolean anonymous) {
+    boolean anonymous,
+    boolean largeResponses) {
   /** Copies the collections and checks the values. */
   public RoutingRule {
     destinations = ImmutableList.copyOf(destinations);
@@ -78,7 +80,8 @@
         timeoutMillis,
         maxAttempts,
         allowedRegions,
-        /* anonymous= */ false);
+        /* anonymous= */ false,
+        /* largeResponses= */ false);
   }
 
   /** Returns whether the requests may be served in {@code region}. */
