Read tenants and their keys, and serve a request only with the key of one

Cause: a configuration with tenants was read as if it had none: a request with an unknown key was served, and the key and the caller's own tenant header were passed on to endpoints. RequestReader answers 401 for a missing, unknown, doubled or malformed key, at once, and 404 before it for a path without rule. Keys, the caller's tenant header and the relayed hash are never passed on; the gateway sets the tenant header. A relayed request carries the hash of its key in a header of its own, which the other VM looks up in its own configuration; a VM with an older one says so before it looks anything up. Relays respect the homes of tenants and go only to VMs that know tenants. Names of headers with spaces are refused (400), as an endpoint may read them as the gateway's own. The bodies of rejected requests are no longer recycled twice.

--- a/core/src/main/java/org/mustardstage/core/member/PeerRelease.java
+++ b/core/src/main/java/org/mustardstage/core/member/PeerRelease.java
@@ -11,6 +11,9 @@
   /** VMs say whether they are cut off from all endpoints, and relay requests for those that are. */
   public static final int RELAYED_REQUESTS = 2;
 
+  /** VMs know tenants, and take the hash of a caller's API key with a relayed request. */
+  public static final int API_KEYS = 3;
+
   /** VMs say which release they speak. */
   public static final int CURRENT = 3;
 
--- a/core/src/main/java/org/mustardstage/core/placement/RelaySelector.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RelaySelector.java
@@ -16,15 +16,16 @@
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.PeerRelease;
+import org.mustardstage.core.tenant.Tenant;
 
 /**
  * Chooses the VM to which this VM relays a request while it is cut off from the endpoints.
  *
  * <p>Handles the cut of many VMs at once, also of most of a zone: relayed requests are spread over
  * all VMs of the region, as the few that are left in the zone could not carry them. Of two VMs
- * drawn at random, the one with fewer relayed requests in flight is chosen. A request whose rule
- * names regions is relayed to these only. VMs of an earlier release that does not know relayed
- * requests are left out.
+ * drawn at random, the one with fewer relayed requests in flight is chosen. A request whose rule or
+ * tenant names regions is relayed to these only. VMs of an earlier release that does not know
+ * relayed requests are left out, and for the requests of tenants those that do not know tenants.
  */
 public final class RelaySelector {
   /** A VM that failed is probably gone, or cut off itself, which the members show within this. */
@@ -67,13 +68,16 @@
    * Returns a VM that may send a request of {@code rule} to endpoints, in this VM's region if one
    * is there; empty if there is none.
    *
+   * @param tenant the tenant whose caller sent the request; empty if the request needs no key
    * @param tried the VMs that must not be chosen again
    */
-  public Optional<Member> choose(long nowNanos, RoutingRule rule, Set<VmId> tried) {
+  public Optional<Member> choose(
+      long nowNanos, RoutingRule rule, Optional<Tenant> tenant, Set<VmId> tried) {
     failedNanos.values().removeIf(nanos -> nowNanos - nanos > AVOID_FAILED_NANOS);
     List<Member> allowed =
         candidates.stream()
             .filter(member -> rule.allowsRegion(member.region()))
+            .filter(member -> tenant.isEmpty() || mayServe(member, tenant.get()))
             .filter(member -> !tried.contains(member.vm()))
             .filter(member -> !failedNanos.containsKey(member.vm()))
             .toList();
@@ -83,6 +87,10 @@
     return lessLoadedOfTwo(inOwnRegion.isEmpty() ? allowed : inOwnRegion);
   }
 
+  private static boolean mayServe(Member member, Tenant tenant) {
+    return tenant.allowsRegion(member.region()) && member.release() >= PeerRelease.API_KEYS;
+  }
+
   /** Returns whether a VM is neither dead nor suspected, so that a relayed request may go on. */
   public boolean isAlive(VmId vm) {
     return aliveVms.contains(vm);
--- a/core/src/test/java/org/mustardstage/core/placement/RelaySelectorTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/RelaySelectorTest.java
@@ -90,7 +90,7 @@
   }
 
   private Optional<Member> choose(RoutingRule rule) {
-    return selector.choose(0, rule, Set.of());
+    return selector.choose(0, rule, Optional.empty(), Set.of());
   }
 
   @Test
@@ -155,7 +155,7 @@
 
     assertThat(choose(ANYWHERE), is(Optional.empty()));
     assertThat(
-        selector.choose(TimeUnit.SECONDS.toNanos(3), ANYWHERE, Set.of()),
+        selector.choose(TimeUnit.SECONDS.toNanos(3), ANYWHERE, Optional.empty(), Set.of()),
         is(not(Optional.empty())));
   }
 
@@ -165,6 +165,6 @@
     showMembers(Set.of());
     VmId only = choose(ANYWHERE).orElseThrow().vm();
 
-    assertThat(selector.choose(0, ANYWHERE, Set.of(only)), is(Optional.empty()));
+    assertThat(selector.choose(0, ANYWHERE, Optional.empty(), Set.of(only)), is(Optional.empty()));
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
@@ -6,6 +6,7 @@
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.placement.RequestFingerprint;
+import org.mustardstage.core.tenant.ApiKeyHash;
 import org.mustardstage.core.tenant.Tenant;
 
 /**
@@ -14,6 +15,7 @@
  * @param id the request id that the caller chose
  * @param rule the routing rule that the request matches
  * @param tenant the tenant whose caller sent it; empty if the request needs no key
+ * @param keyHash the hash of the API key that came with it, also if it needs none
  * @param service the service that the request is sent to
  * @param affinityKey the key whose requests are kept together, if the rule has affinity
  * @param method the HTTP method
@@ -30,6 +32,7 @@
     String id,
     RoutingRule rule,
     Optional<Tenant> tenant,
+    Optional<ApiKeyHash> keyHash,
     ServiceName service,
     Optional<String> affinityKey,
     HttpMethod method,
@@ -51,10 +54,13 @@
   }
 
   /**
-   * Returns what the request says of its caller: its credentials and its affinity key. Other
-   * cookies may differ each time.
+   * Returns what the request says of its caller: its credentials, hashed if they are an API key,
+   * and its affinity key. Other cookies may differ each time.
    */
   private String callerIdentity() {
-    return headers.find("Authorization").orElse("") + "\n" + affinityKey.orElse("");
+    return headers.find("Authorization").orElse("")
+        + keyHash.map(hash -> "\n" + hash).orElse("")
+        + "\n"
+        + affinityKey.orElse("");
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -1,6 +1,6 @@
 package org.mustardstage.entry.gateway;
 
-import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.consumer.ChannelConsumers;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
@@ -8,6 +8,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -45,6 +46,7 @@
   private final RequestBodyReader bodyReader;
   private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
   private final GatewayMetrics metrics;
+  private final HttpHeader requestId;
   private int inFlight;
 
   GatewayServlet(
@@ -58,6 +60,7 @@
     this.rejectsNewRequests = rejectsNewRequests;
     this.metrics = metrics;
     this.bodyReader = bodyReader;
+    this.requestId = HttpHeaders.of(services.headerNames().requestId());
     this.reader = new RequestReader(services.headerNames());
   }
 
@@ -80,11 +83,7 @@
     Either<RequestReader.Problem, RequestReader.Head> head =
         reader.read(httpRequest, activeConfig.get(), nowNanos, services.relayNetwork()::isVm);
     if (head.isLeft()) {
-      return reject(httpRequest, problem(head.getLeft()));
-    }
-    if (isOlderThan(head.get().relay(), activeConfig.get())) {
-      return reject(
-          httpRequest, notRun(NotRunReasons.OLDER_CONFIG, OLDER_CONFIG_RETRY_AFTER_MILLIS));
+      return reject(httpRequest, head.getLeft());
     }
     ServiceName service = serviceSelector.select(head.get().rule());
     CallerConnection connection = CallerConnections.of(httpRequest);
@@ -107,6 +106,7 @@
                       head.get().id(),
                       head.get().rule(),
                       head.get().tenant(),
+                      head.get().keyHash(),
                       service,
                       head.get().affinityKey(),
                       method,
@@ -123,13 +123,6 @@
         .whenComplete((response, e) -> inFlight--);
   }
 
-  /** Returns whether the VM that relayed a request took it by a newer configuration. */
-  private static boolean isOlderThan(Optional<RelayHeader> relay, GatewayConfig activeConfig) {
-    return relay
-        .filter(header -> header.configVersion() > activeConfig.version().number())
-        .isPresent();
-  }
-
   private static HttpResponse bodyFailure(RequestBodyReader.Failure failure) {
     return switch (failure) {
       case TOO_LARGE, INCOMPLETE -> problem(RequestReader.Problem.BODY_TOO_LARGE);
@@ -175,6 +168,8 @@
         request.id(),
         "rule",
         request.rule().name(),
+        "tenant",
+        request.tenant().map(tenant -> tenant.name().value()).orElse(""),
         "config",
         activeConfig.version(),
         "service",
@@ -232,11 +227,54 @@
     return response.withBody(endpointResponse.body()).build();
   }
 
-  private Promise<HttpResponse> reject(HttpRequest request, HttpResponse response) {
+  private static Promise<HttpResponse> reject(HttpRequest request, HttpResponse response) {
+    return skipBody(request).then((end, e) -> Promise.of(response));
+  }
+
+  /**
+   * Reads the body without keeping it, so that the connection can carry another request. One that
+   * is too large ends the connection.
+   */
+  private static Promise<Void> skipBody(HttpRequest request) {
+    long[] remainingBytes = {MAX_BUFFERED_BODY_BYTES};
     return request
-        .loadBody((int) MAX_BUFFERED_BODY_BYTES)
-        .whenResult(ByteBuf::recycle)
-        .then((body, e) -> Promise.of(response));
+        .takeBodyStream()
+        .streamTo(
+            ChannelConsumers.ofConsumer(
+                chunk -> {
+                  remainingBytes[0] -= chunk.readRemaining();
+                  chunk.recycle();
+                  if (remainingBytes[0] < 0) {
+                    throw new IOException("the body of a rejected request is too large to skip");
+                  }
+                }));
+  }
+
+  private Promise<HttpResponse> reject(HttpRequest request, RequestReader.Problem problem) {
+    return switch (problem) {
+      case KEY_MISSING, KEY_UNKNOWN, KEY_MALFORMED -> rejectByKey(request, problem);
+      case OLDER_CONFIG ->
+          reject(request, notRun(NotRunReasons.OLDER_CONFIG, OLDER_CONFIG_RETRY_AFTER_MILLIS));
+      case MALFORMED, NO_ROUTE, BODY_TOO_LARGE -> reject(request, problem(problem));
+    };
+  }
+
+  /** Responds at once, before the body, which is not kept, has arrived. */
+  private Promise<HttpResponse> rejectByKey(HttpRequest request, RequestReader.Problem problem) {
+    EventLog.log(
+        Event.KEY_REJECTED,
+        "request",
+        Optional.ofNullable(request.getHeader(requestId)).orElse(""),
+        "host",
+        Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse(""),
+        "path",
+        request.getPath(),
+        "callerAddress",
+        request.getRemoteAddress().getHostAddress(),
+        "why",
+        problem.name());
+    skipBody(request).whenException(e -> {});
+    return Promise.of(problem(problem));
   }
 
   private static HttpResponse problem(RequestReader.Problem problem) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/HeaderNames.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/HeaderNames.java
@@ -11,6 +11,8 @@
  * @param load the endpoint's running requests, queued requests and slots
  * @param leaving present in the responses of an endpoint that is about to stop
  * @param requestLimit the requests per second that the endpoint takes from all VMs together
+ * @param apiKey the API key of a caller, which endpoints never receive
+ * @param tenant the name of the tenant that holds the key, as endpoints receive it
  * @param affinityCookie the cookie that holds the affinity key of a request (not a header)
  */
 public record HeaderNames(
@@ -22,4 +24,6 @@
     String load,
     String leaving,
     String requestLimit,
+    String apiKey,
+    String tenant,
     String affinityCookie) {}
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RelayHeader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RelayHeader.java
@@ -18,6 +18,13 @@
 record RelayHeader(long configVersion, int sentAttempts, long elapsedMillis) {
   static final String NAME = "Mustardstage-Relayed";
 
+  /**
+   * The name of another header, which holds the hash of the caller's API key: the other VM looks it
+   * up in its own configuration. A header of its own, as earlier releases expect three numbers in
+   * {@link #NAME}.
+   */
+  static final String KEY_HASH_NAME = "Mustardstage-Key-Hash";
+
   private static final int FIELDS = 3;
 
   /** Returns the value of the header. */
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestEncoder.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestEncoder.java
@@ -1,7 +1,9 @@
 package org.mustardstage.entry.gateway;
 
+import com.google.common.collect.ImmutableList;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 
 /** Encodes requests as HTTP/1.1 for endpoints and for other VMs. */
@@ -17,17 +19,24 @@
       RegisteredEndpoint endpoint,
       HeaderNames headerNames,
       long remainingMillis) {
-    HeaderList.Line expected =
-        new HeaderList.Line(headerNames.expectedEndpoint(), endpoint.id().value());
-    return encode(request, expected, headerNames, remainingMillis);
+    ImmutableList.Builder<HeaderList.Line> added = ImmutableList.builder();
+    added.add(new HeaderList.Line(headerNames.expectedEndpoint(), endpoint.id().value()));
+    request
+        .tenant()
+        .map(tenant -> new HeaderList.Line(headerNames.tenant(), tenant.name().value()))
+        .ifPresent(added::add);
+    return encode(request, added.build(), headerNames, remainingMillis);
   }
 
   /**
-   * Returns the bytes of {@code request} with a deadline in {@code remainingMillis} and one header
-   * more.
+   * Returns the bytes of {@code request} with a deadline in {@code remainingMillis} and the headers
+   * {@code added}.
    */
   static byte[] encode(
-      CallerRequest request, HeaderList.Line added, HeaderNames headerNames, long remainingMillis) {
+      CallerRequest request,
+      List<HeaderList.Line> added,
+      HeaderNames headerNames,
+      long remainingMillis) {
     StringBuilder head = new StringBuilder(512);
     head.append(request.method())
         .append(' ')
@@ -37,7 +46,9 @@
       append(head, line.name(), line.value());
     }
     append(head, headerNames.deadlineMillis(), Long.toString(remainingMillis));
-    append(head, added.name(), added.value());
+    for (HeaderList.Line line : added) {
+      append(head, line.name(), line.value());
+    }
     if (request.body().length > 0 || mayHaveBody(request)) {
       append(head, "Content-Length", Integer.toString(request.body().length));
     }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
@@ -16,24 +16,30 @@
 import java.util.function.Predicate;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RoutingRule;
+import org.mustardstage.core.tenant.ApiKeyHash;
 import org.mustardstage.core.tenant.Tenant;
 import org.mustardstage.entry.traffic.Headers;
 
 /** Validates the head of a caller's request, matches it to a rule and determines its deadline. */
 final class RequestReader {
   private static final String CHUNKED = "chunked";
+  private static final HttpHeader RELAYED_KEY_HASH = HttpHeaders.of(RelayHeader.KEY_HASH_NAME);
   private static final HttpHeader RELAY = HttpHeaders.of(RelayHeader.NAME);
 
   private final HeaderNames headerNames;
   private final HttpHeader requestId;
   private final HttpHeader deadlineMillis;
   private final HttpHeader expectedEndpoint;
+  private final HttpHeader apiKey;
+  private final HttpHeader tenant;
 
   RequestReader(HeaderNames headerNames) {
     this.headerNames = headerNames;
     this.requestId = HttpHeaders.of(headerNames.requestId());
     this.deadlineMillis = HttpHeaders.of(headerNames.deadlineMillis());
     this.expectedEndpoint = HttpHeaders.of(headerNames.expectedEndpoint());
+    this.apiKey = HttpHeaders.of(headerNames.apiKey());
+    this.tenant = HttpHeaders.of(headerNames.tenant());
   }
 
   /** Why a request is rejected; the names are sent to callers. */
@@ -45,6 +51,14 @@
     MALFORMED(400),
     /** No rule matches the host and path. */
     NO_ROUTE(404),
+    /** The rule needs an API key, and the request has none. */
+    KEY_MISSING(401),
+    /** No tenant of the configuration holds the API key. */
+    KEY_UNKNOWN(401),
+    /** There are several API keys, or the one can't be a key: it is too long, for instance. */
+    KEY_MALFORMED(401),
+    /** Another VM relayed the request by a newer configuration than this VM has. */
+    OLDER_CONFIG(503),
     /** The body is larger than the configuration allows. */
     BODY_TOO_LARGE(413);
 
@@ -65,6 +79,7 @@
    * @param id the request id that the caller chose, or an empty string
    * @param rule the routing rule that the request matches
    * @param tenant the tenant whose caller sent it; empty if the request needs no key
+   * @param keyHash the hash of the API key that came with it, also if it needs none
    * @param affinityKey the key whose requests are kept together, if the rule has affinity
    * @param headers the headers that are forwarded to the endpoint
    * @param arrivalNanos when the request arrived at the first VM
@@ -75,6 +90,7 @@
       String id,
       RoutingRule rule,
       Optional<Tenant> tenant,
+      Optional<ApiKeyHash> keyHash,
       Optional<String> affinityKey,
       HeaderList headers,
       long arrivalNanos,
@@ -92,6 +108,17 @@
     if (framing.isPresent()) {
       return Either.left(framing.get());
     }
+    Optional<String> relayText =
+        Optional.ofNullable(request.getHeader(RELAY))
+            .filter(text -> isVm.test(request.getRemoteAddress()));
+    Optional<RelayHeader> relay = relayText.flatMap(RelayHeader::parse);
+    if (relayText.isPresent() && relay.isEmpty()) {
+      return Either.left(Problem.MALFORMED);
+    }
+    if (relay.filter(r -> r.configVersion() > config.version().number()).isPresent()) {
+      // Before anything is looked up in this configuration, which may lack the rule or the key.
+      return Either.left(Problem.OLDER_CONFIG);
+    }
     String host = request.getHeader(HttpHeaders.HOST);
     if (host == null) {
       return Either.left(Problem.MALFORMED);
@@ -100,12 +127,10 @@
     if (rule.isEmpty()) {
       return Either.left(Problem.NO_ROUTE);
     }
-    Optional<String> relayText =
-        Optional.ofNullable(request.getHeader(RELAY))
-            .filter(text -> isVm.test(request.getRemoteAddress()));
-    Optional<RelayHeader> relay = relayText.flatMap(RelayHeader::parse);
-    if (relayText.isPresent() && relay.isEmpty()) {
-      return Either.left(Problem.MALFORMED);
+    Either<Problem, ApiKeyHash> keyHash = readKeyHash(request, relay.isPresent());
+    Either<Problem, Optional<Tenant>> keyTenant = findTenant(config, rule.get(), keyHash);
+    if (keyTenant.isLeft()) {
+      return Either.left(keyTenant.getLeft());
     }
     long arrivalNanos =
         nowNanos - TimeUnit.MILLISECONDS.toNanos(relay.map(RelayHeader::elapsedMillis).orElse(0L));
@@ -114,7 +139,8 @@
         new Head(
             id == null ? "" : id,
             rule.get(),
-            /* tenant= */ Optional.empty(),
+            keyTenant.get(),
+            keyHash.toJavaOptional(),
             rule.get().affinity() ? affinityKeyOf(request) : Optional.empty(),
             forwardedHeaders(request),
             arrivalNanos,
@@ -122,11 +148,51 @@
             relay));
   }
 
+  /**
+   * Returns the hash of the API key in {@code request}: of the key that the caller sent, or of the
+   * one that another VM read from the request that it relays.
+   */
+  private Either<Problem, ApiKeyHash> readKeyHash(HttpRequest request, boolean isRelayed) {
+    List<String> values = valuesOf(request, isRelayed ? RELAYED_KEY_HASH : apiKey);
+    if (values.isEmpty()) {
+      return Either.left(Problem.KEY_MISSING);
+    }
+    String value = values.getFirst().trim();
+    if (values.size() > 1) {
+      return Either.left(Problem.KEY_MALFORMED);
+    }
+    if (isRelayed) {
+      return ApiKeyHash.parse(value)
+          .map(Either::<Problem, ApiKeyHash>right)
+          .orElse(Either.left(Problem.KEY_MALFORMED));
+    }
+    return ApiKeyHash.isValidKey(value)
+        ? Either.right(ApiKeyHash.of(value))
+        : Either.left(Problem.KEY_MALFORMED);
+  }
+
+  private static Either<Problem, Optional<Tenant>> findTenant(
+      GatewayConfig config, RoutingRule rule, Either<Problem, ApiKeyHash> keyHash) {
+    if (rule.anonymous() || config.tenants().isEmpty()) {
+      return Either.right(Optional.empty());
+    }
+    return keyHash.flatMap(
+        hash ->
+            config
+                .tenants()
+                .findByKeyHash(hash)
+                .map(found -> Either.<Problem, Optional<Tenant>>right(Optional.of(found)))
+                .orElse(Either.left(Problem.KEY_UNKNOWN)));
+  }
+
   private static Optional<Problem> checkFraming(HttpRequest request, GatewayConfig config) {
     HttpMethod method = request.getMethod();
     if (method == HttpMethod.CONNECT || method == HttpMethod.TRACE) {
       return Optional.of(Problem.MALFORMED);
     }
+    if (!hasValidHeaderNames(request)) {
+      return Optional.of(Problem.MALFORMED);
+    }
     String encoding = request.getHeader(HttpHeaders.TRANSFER_ENCODING);
     List<String> lengths = valuesOf(request, HttpHeaders.CONTENT_LENGTH);
     boolean unknownEncoding = encoding != null && !encoding.trim().equalsIgnoreCase(CHUNKED);
@@ -146,6 +212,20 @@
         : Optional.empty();
   }
 
+  /**
+   * Returns whether no header name contains a space or a control character. Endpoints may ignore
+   * these, and so take for a header of the gateway what a caller sent under an odd name.
+   */
+  private static boolean hasValidHeaderNames(HttpRequest request) {
+    boolean[] allValid = {true};
+    request.forEachHeader(
+        (header, value) -> {
+          allValid[0] = header.toString().chars().allMatch(c -> c > ' ' && c <= '~');
+          return allValid[0];
+        });
+    return allValid[0];
+  }
+
   private static ImmutableList<String> valuesOf(HttpRequest request, HttpHeader header) {
     ImmutableList.Builder<String> values = ImmutableList.builder();
     request.forEachHeader(
@@ -214,6 +294,9 @@
         || header.equals(HttpHeaders.ACCEPT_ENCODING)
         || header.equals(deadlineMillis)
         || header.equals(expectedEndpoint)
+        || header.equals(apiKey)
+        || header.equals(tenant)
+        || header.equals(RELAYED_KEY_HASH)
         || header.equals(RELAY);
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
@@ -1,5 +1,6 @@
 package org.mustardstage.entry.gateway;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import io.vavr.control.Either;
@@ -13,6 +14,7 @@
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.member.Member;
+import org.mustardstage.core.member.PeerRelease;
 
 /**
  * Relays one request to another VM, as this VM is cut off from the endpoints. VMs that can't be
@@ -109,7 +111,7 @@
 
   private Optional<Member> chooseVm() {
     return tried.size() < MAX_VMS
-        ? network.selector().choose(System.nanoTime(), request.rule(), tried)
+        ? network.selector().choose(System.nanoTime(), request.rule(), request.tenant(), tried)
         : Optional.empty();
   }
 
@@ -144,7 +146,7 @@
   private void send(Member vm) {
     tried.add(vm.vm());
     Optional<EndpointConnectionPool.Sent> started =
-        network.connections().send(vm.trafficAddress(), request, encode());
+        network.connections().send(vm.trafficAddress(), request, encode(vm));
     if (started.isEmpty()) {
       trace.add(vm.vm() + ":" + NotRunReasons.NO_LINK);
       tryNextVm();
@@ -157,7 +159,7 @@
     started.get().response().whenResult(result -> onResponse(current, result));
   }
 
-  private byte[] encode() {
+  private byte[] encode(Member vm) {
     long nowNanos = System.nanoTime();
     long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
     RelayHeader header =
@@ -165,9 +167,18 @@
             configVersion.number(),
             sentAttempts,
             TimeUnit.NANOSECONDS.toMillis(nowNanos - request.arrivalNanos()));
+    ImmutableList.Builder<HeaderList.Line> added = ImmutableList.builder();
+    added.add(new HeaderList.Line(RelayHeader.NAME, header.format()));
+    if (vm.release() >= PeerRelease.API_KEYS) {
+      // An earlier release would forward the header to the endpoint.
+      request
+          .keyHash()
+          .map(hash -> new HeaderList.Line(RelayHeader.KEY_HASH_NAME, hash.toString()))
+          .ifPresent(added::add);
+    }
     return RequestEncoder.encode(
         request,
-        new HeaderList.Line(RelayHeader.NAME, header.format()),
+        added.build(),
         network.headerNames(),
         Math.max(1, remainingMillis - RESPONSE_TRANSFER_MARGIN_MILLIS));
   }
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -83,7 +83,9 @@
   /** The control thread caught an unexpected exception. */
   CONTROL_FAULT(90, Level.ERROR),
   /** The traffic thread caught an unexpected exception. */
-  TRAFFIC_FAULT(91, Level.ERROR);
+  TRAFFIC_FAULT(91, Level.ERROR),
+  /** A request was rejected by its API key. */
+  KEY_REJECTED(100, Level.INFO);
 
   private final int number;
   private final Level level;
--- a/entry/src/test/java/org/mustardstage/entry/gateway/AttemptBudgetTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/AttemptBudgetTest.java
@@ -37,6 +37,7 @@
             "r-1",
             rule,
             Optional.empty(),
+            Optional.empty(),
             SERVICE,
             Optional.empty(),
             HttpMethod.GET,
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -77,6 +77,12 @@
    *     it
    */
   void startVm(UnaryOperator<HostAndPort> addressOfEndpoint) throws IOException {
+    startVm(addressOfEndpoint, config());
+  }
+
+  /** Starts one more VM, which has {@code config} in force. */
+  void startVm(UnaryOperator<HostAndPort> addressOfEndpoint, GatewayConfig config)
+      throws IOException {
     HostAndPort callers = TestPorts.freeAddress();
     HostAndPort peers = TestPorts.freeAddress();
     int number = vms.size() + 1;
@@ -100,7 +106,7 @@
             new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
             420,
             "info");
-    GatewayProcess vm = new GatewayProcess(settings, new Adapter(addressOfEndpoint), 1);
+    GatewayProcess vm = new GatewayProcess(settings, new Adapter(addressOfEndpoint, config), 1);
     vm.start();
     vms.add(vm);
     callerAddresses.add(callers);
@@ -165,8 +171,10 @@
 
   private final class Adapter implements PlatformAdapter {
     private final UnaryOperator<HostAndPort> addressOfEndpoint;
+    private final GatewayConfig config;
 
-    Adapter(UnaryOperator<HostAndPort> addressOfEndpoint) {
+    Adapter(UnaryOperator<HostAndPort> addressOfEndpoint, GatewayConfig config) {
+      this.config = config;
       this.addressOfEndpoint = addressOfEndpoint;
     }
 
@@ -187,7 +195,7 @@
 
     @Override
     public Either<String, OperatorRow> readOperatorRow(String key, byte[] value) {
-      return Either.right(new OperatorRow.Config(config()));
+      return Either.right(new OperatorRow.Config(config));
     }
 
     @Override
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -235,7 +235,17 @@
     @Override
     public HeaderNames headerNames() {
       return new HeaderNames(
-          "Id", "Deadline", "Expected", "Seal", "Not-Run", "Load", "Leaving", "Limit", "Object");
+          "Id",
+          "Deadline",
+          "Expected",
+          "Seal",
+          "Not-Run",
+          "Load",
+          "Leaving",
+          "Limit",
+          "Key",
+          "Tenant",
+          "Object");
     }
 
     @Override
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -56,6 +56,8 @@
           "X-Server-Load",
           "Server-Leaving",
           "Server-Limit",
+          "X-Key",
+          "X-Tenant",
           "X-Affinity-Key");
 
   static final String NON_IDEMPOTENT_PATH = "/book/1";
