--- a/core/src/test/java/org/mustardstage/core/placement/RelaySelectorTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/RelaySelectorTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.id.TenantName;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.VmIncarnation;
 import org.mustardstage.core.id.ZoneId;
@@ -29,6 +31,7 @@
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.PeerRelease;
+import org.mustardstage.core.tenant.Tenant;
 
 /** Guards the choice of the VM that serves for one that is cut off from the endpoints. */
 class RelaySelectorTest {
@@ -124,6 +127,45 @@
     assertThat(choose(ANYWHERE).orElseThrow().region(), is(SOUTH));
   }
 
+  @Test
+  void requestStaysInTheRegionsOfItsTenantAndOfItsRule() {
+    addZone(NORTH_A, NORTH, VMS_PER_ZONE);
+    addZone(SOUTH_A, SOUTH, 0);
+    showMembers(Set.of());
+
+    assertThat(chooseFor(ANYWHERE, Set.of(SOUTH)).orElseThrow().region(), is(SOUTH));
+    assertThat(chooseFor(ANYWHERE, Set.of(NORTH)), is(Optional.empty()));
+    assertThat(chooseFor(rule(Set.of(NORTH)), Set.of(SOUTH)), is(Optional.empty()));
+  }
+
+  @Test
+  void requestOfATenantIsNotRelayedToAReleaseThatKnowsNoTenants() {
+    addZone(NORTH_A, NORTH, VMS_PER_ZONE - 1);
+    Member last = members.removeLast();
+    members.add(
+        new Member(
+            last.incarnation(),
+            last.zone(),
+            last.region(),
+            last.peerAddress(),
+            last.trafficAddress(),
+            last.adminAddress(),
+            last.leaving(),
+            last.milliCores(),
+            last.cutOff(),
+            PeerRelease.API_KEYS - 1));
+    showMembers(Set.of());
+
+    assertThat(chooseFor(ANYWHERE, Set.of()), is(Optional.empty()));
+    assertThat(choose(ANYWHERE).isPresent(), is(true));
+  }
+
+  private Optional<Member> chooseFor(RoutingRule rule, Set<RegionId> homes) {
+    Tenant tenant =
+        new Tenant(new TenantName("mill"), OptionalInt.empty(), homes, Optional.empty());
+    return selector.choose(0, rule, Optional.of(tenant), Set.of());
+  }
+
   @Test
   void requestStaysInTheRegionsOfItsRule() {
     addZone(NORTH_A, NORTH, VMS_PER_ZONE);
