Reject API keys after a time without news of them, where the settings say so

Cause: where keys that are taken away must end within a bound also at VMs that are out of touch with the store, a VM went on serving by the keys that it knew. A VM that has not read the operators' table, nor had it from a reader, for that long answers 503 KEYS_STALE to requests that need a key, whatever the key; open rules serve on. Calls for changes then wait a third of the lifetime at most, so that an idle store renews it. Without the setting nothing changes.

--- /dev/null
+++ b/core/src/main/java/org/mustardstage/core/tenant/KeyLifetime.java
@@ -0,0 +1,50 @@
+package org.mustardstage.core.tenant;
+
+import com.google.common.base.Preconditions;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * How long a VM accepts API keys without news of the configuration. Handles the VM that is out of
+ * touch with the store while a key is taken away: without a lifetime it goes on serving by the keys
+ * that it knows, with one it serves nobody by a key that may be gone. Safe on any thread.
+ */
+public final class KeyLifetime {
+  private final OptionalLong lifetimeMillis;
+  private volatile long currentNanos;
+
+  /**
+   * Creates a lifetime that starts now.
+   *
+   * @param lifetimeMillis how long the last known keys are accepted; empty if without end
+   */
+  public KeyLifetime(OptionalLong lifetimeMillis, long nowNanos) {
+    Preconditions.checkArgument(
+        lifetimeMillis.orElse(1) > 0, "lifetime of keys must be positive: %s", lifetimeMillis);
+    this.lifetimeMillis = lifetimeMillis;
+    this.currentNanos = nowNanos;
+  }
+
+  /** Records that the configuration was the newest one of the store at {@code nowNanos}. */
+  public void recordCurrent(long nowNanos) {
+    currentNanos = nowNanos;
+  }
+
+  /** Returns whether the known keys may still be accepted. */
+  public boolean acceptsKeys(long nowNanos) {
+    return lifetimeMillis.isEmpty()
+        || nowNanos - currentNanos <= TimeUnit.MILLISECONDS.toNanos(lifetimeMillis.getAsLong());
+  }
+
+  /**
+   * Returns how long a call for news may wait for a change, so that its answer renews the lifetime
+   * in time.
+   *
+   * @param usualMillis the wait without a lifetime
+   */
+  public long callWaitMillis(long usualMillis) {
+    return lifetimeMillis.isEmpty()
+        ? usualMillis
+        : Math.min(usualMillis, lifetimeMillis.getAsLong() / 3);
+  }
+}
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -36,6 +36,7 @@
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
 import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.core.tenant.KeyLifetime;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
@@ -81,6 +82,7 @@
   private final RowReplicator rowReplicator;
   private final CrashExchange crashExchange;
   private final long createdNanos = System.nanoTime();
+  private final KeyLifetime keyLifetime;
   private final StateListener stateListener;
   private final DeploymentState deployment;
   private final StoreAnnouncement announcement = new StoreAnnouncement();
@@ -116,6 +118,7 @@
       StateListener stateListener) {
     this.stateListener = stateListener;
     this.settings = settings;
+    this.keyLifetime = new KeyLifetime(settings.keyLifetimeMillis(), clock.getAsLong());
     this.deployment = new DeploymentState(adapter, clock, new DeploymentListener());
     this.self =
         new Member(
@@ -144,7 +147,9 @@
         new TableReplica(
             store,
             PlatformAdapter.Table.OPERATOR,
-            OPERATOR_POLL_SETTINGS,
+            new TableReplica.PollSettings(
+                keyLifetime.callWaitMillis(OPERATOR_POLL_SETTINGS.waitMillis()),
+                OPERATOR_POLL_SETTINGS.pauseMillis()),
             scheduler,
             row -> row.value().map(ByteBuffer::wrap),
             new OperatorListener());
@@ -214,6 +219,11 @@
     return eventloop;
   }
 
+  /** Returns whether the keys of the active configuration may be accepted. Safe on any thread. */
+  boolean acceptsKeys() {
+    return keyLifetime.acceptsKeys(clock.getAsLong());
+  }
+
   Optional<GatewayConfig> config() {
     return deployment.config();
   }
@@ -430,8 +440,14 @@
 
     @Override
     public void onStoreRead() {
+      keyLifetime.recordCurrent(clock.getAsLong());
       rowReplicator.sendChanges(PlatformAdapter.Table.OPERATOR, memberView.get(), leaving);
     }
+
+    @Override
+    public void onPeerRead() {
+      keyLifetime.recordCurrent(clock.getAsLong());
+    }
   }
 
   private final class EndpointListener implements TableReplica.Listener {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
@@ -28,6 +28,7 @@
     this.settings = settings;
     this.server = new GatewayServer(settings, adapter, new GatewayMetrics());
     this.control = new GatewayControl(settings, adapter, incarnationNumber, server);
+    server.setKeyCheck(control::acceptsKeys);
     server.setLeavingListener(control::onEndpointLeaving);
     server.setLimitListener(control::onEndpointLimit);
     server.setCrashListener(control);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.mustardstage.core.gateway.GatewayConfig;
@@ -52,6 +53,7 @@
   private static final long IDLE_CHECK_INTERVAL_MILLIS = 20;
 
   private final GatewaySettings settings;
+  private volatile BooleanSupplier keyCheck = () -> true;
   private final PlatformAdapter adapter;
   private final GatewayMetrics metrics;
   private final Eventloop eventloop;
@@ -114,6 +116,7 @@
                 crashGuard,
                 headerNames),
             () -> rejectsNewRequests,
+            () -> keyCheck.getAsBoolean(),
             new RequestBodyReader((long) (REQUEST_BODIES_HEAP_SHARE * heapBytes)),
             metrics);
     this.callerServer =
@@ -126,6 +129,11 @@
             .build();
   }
 
+  /** Sets what says whether the keys of the active configuration may be accepted. */
+  void setKeyCheck(BooleanSupplier acceptsKeys) {
+    keyCheck = acceptsKeys;
+  }
+
   /**
    * Sets what is told of each response in which an endpoint says that it is leaving. The listener
    * runs on the traffic thread.
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -33,6 +33,7 @@
   private static final int STATUS_UNAVAILABLE = 503;
   private static final long OLDER_CONFIG_RETRY_AFTER_MILLIS = 100;
   private static final long NO_CONFIG_RETRY_AFTER_MILLIS = 500;
+  private static final long STALE_KEYS_RETRY_AFTER_MILLIS = 500;
   private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
   private static final long BUFFERS_FULL_RETRY_AFTER_MILLIS = 500;
   private static final long MAX_BUFFERED_BODY_BYTES = 8 << 20;
@@ -53,6 +54,7 @@
       Supplier<Optional<GatewayConfig>> config,
       GatewayServices services,
       BooleanSupplier rejectsNewRequests,
+      BooleanSupplier acceptsKeys,
       RequestBodyReader bodyReader,
       GatewayMetrics metrics) {
     this.config = config;
@@ -61,7 +63,7 @@
     this.metrics = metrics;
     this.bodyReader = bodyReader;
     this.requestId = HttpHeaders.of(services.headerNames().requestId());
-    this.reader = new RequestReader(services.headerNames());
+    this.reader = new RequestReader(services.headerNames(), acceptsKeys);
   }
 
   /** Returns the number of requests that have no response yet. */
@@ -255,6 +257,8 @@
       case KEY_MISSING, KEY_UNKNOWN, KEY_MALFORMED -> rejectByKey(request, problem);
       case OLDER_CONFIG ->
           reject(request, notRun(NotRunReasons.OLDER_CONFIG, OLDER_CONFIG_RETRY_AFTER_MILLIS));
+      case KEYS_STALE ->
+          reject(request, notRun(NotRunReasons.KEYS_STALE, STALE_KEYS_RETRY_AFTER_MILLIS));
       case MALFORMED, NO_ROUTE, BODY_TOO_LARGE -> reject(request, problem(problem));
     };
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.ZoneId;
@@ -31,6 +32,8 @@
  * @param repeatShare the retry budget of all VMs together, as a share of first attempts
  * @param repeatReserve the retries that all VMs together may send beyond that share
  * @param regionShiftLimit the limit on how fast requests may shift from one region to another
+ * @param keyLifetimeMillis how long API keys are accepted without news of the configuration; empty
+ *     for as long as it takes
  * @param milliCores the processing capacity of the VM, in thousandths of a core
  * @param logLevel the minimum level of log lines
  */
@@ -51,6 +54,7 @@
     double repeatShare,
     int repeatReserve,
     RegionShiftLimit regionShiftLimit,
+    OptionalLong keyLifetimeMillis,
     int milliCores,
     String logLevel) {
   /** Copies the collections and checks the ranges of the numbers. */
@@ -69,6 +73,10 @@
         repeatShare);
     Preconditions.checkArgument(
         repeatReserve >= 0, "repeatReserve must not be negative: %s", repeatReserve);
+    Preconditions.checkArgument(
+        keyLifetimeMillis.orElse(1) > 0,
+        "keyLifetimeMillis (1000 * keyLifetimeSeconds) must be positive: %s",
+        keyLifetimeMillis);
     Preconditions.checkArgument(
         milliCores > 0, "milliCores (1000 * cores * cpuShare) must be positive: %s", milliCores);
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettingsReader.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Function;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
@@ -79,6 +80,9 @@
                   root.path("movedShare").asDouble(DEFAULT_MOVED_SHARE),
                   Duration.ofMillis(
                       root.path("movedWithinMillis").asLong(DEFAULT_MOVED_WITHIN_MILLIS))),
+              root.has("keyLifetimeSeconds")
+                  ? OptionalLong.of((long) (number("keyLifetimeSeconds") * MILLIS_PER_SECOND))
+                  : OptionalLong.empty(),
               (int)
                   (MILLI_CORES_PER_CORE
                       * root.path("cores").asDouble(1)
--- a/entry/src/main/java/org/mustardstage/entry/gateway/NotRunReasons.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/NotRunReasons.java
@@ -12,6 +12,9 @@
   /** Another VM relayed the request by a newer configuration than this VM has. */
   static final String OLDER_CONFIG = "OLDER_CONFIG";
 
+  /** This VM has had no news of the configuration for longer than it may accept API keys. */
+  static final String KEYS_STALE = "KEYS_STALE";
+
   /** This VM is about to stop. */
   static final String STOPPING = "STOPPING";
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RoutingRule;
@@ -27,13 +28,20 @@
   private static final HttpHeader RELAY = HttpHeaders.of(RelayHeader.NAME);
 
   private final HeaderNames headerNames;
+  private final BooleanSupplier acceptsKeys;
   private final HttpHeader requestId;
   private final HttpHeader deadlineMillis;
   private final HttpHeader expectedEndpoint;
   private final HttpHeader apiKey;
   private final HttpHeader tenant;
 
-  RequestReader(HeaderNames headerNames) {
+  /**
+   * Creates a reader.
+   *
+   * @param acceptsKeys returns whether the keys of the active configuration may be accepted
+   */
+  RequestReader(HeaderNames headerNames, BooleanSupplier acceptsKeys) {
+    this.acceptsKeys = acceptsKeys;
     this.headerNames = headerNames;
     this.requestId = HttpHeaders.of(headerNames.requestId());
     this.deadlineMillis = HttpHeaders.of(headerNames.deadlineMillis());
@@ -57,6 +65,8 @@
     KEY_UNKNOWN(401),
     /** There are several API keys, or the one can't be a key: it is too long, for instance. */
     KEY_MALFORMED(401),
+    /** This VM has had no news of the keys for too long. */
+    KEYS_STALE(503),
     /** Another VM relayed the request by a newer configuration than this VM has. */
     OLDER_CONFIG(503),
     /** The body is larger than the configuration allows. */
@@ -171,11 +181,14 @@
         : Either.left(Problem.KEY_MALFORMED);
   }
 
-  private static Either<Problem, Optional<Tenant>> findTenant(
+  private Either<Problem, Optional<Tenant>> findTenant(
       GatewayConfig config, RoutingRule rule, Either<Problem, ApiKeyHash> keyHash) {
     if (rule.anonymous() || config.tenants().isEmpty()) {
       return Either.right(Optional.empty());
     }
+    if (!acceptsKeys.getAsBoolean()) {
+      return Either.left(Problem.KEYS_STALE);
+    }
     return keyHash.flatMap(
         hash ->
             config
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
@@ -41,6 +41,7 @@
           NotRunReasons.STOPPING,
           NotRunReasons.NO_CONFIG,
           NotRunReasons.OLDER_CONFIG,
+          NotRunReasons.KEYS_STALE,
           NotRunReasons.CUT_OFF,
           NotRunReasons.BUFFERS_FULL);
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/TableReplica.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/TableReplica.java
@@ -119,6 +119,9 @@
 
     /** Called after each successful read of the store by this VM. */
     void onStoreRead();
+
+    /** Called when this replica holds what another VM has just read from the store. */
+    default void onPeerRead() {}
   }
 
   /**
@@ -235,6 +238,9 @@
     if (comparison > 0 || (comparison == 0 && wholeTable)) {
       apply(received, wholeTable);
     }
+    if (current) {
+      listener.onPeerRead();
+    }
     return true;
   }
 
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.UnaryOperator;
 import org.mustardstage.core.gateway.CallerLimits;
@@ -104,6 +105,7 @@
             0.2,
             100,
             new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
+            OptionalLong.empty(),
             420,
             "info");
     GatewayProcess vm = new GatewayProcess(settings, new Adapter(addressOfEndpoint, config), 1);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
@@ -136,6 +137,7 @@
         0.2,
         100,
         new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
+        OptionalLong.empty(),
         420,
         "info");
   }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.mustardstage.core.gateway.CallerLimits;
@@ -152,6 +153,7 @@
         0.2,
         100,
         new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
+        OptionalLong.empty(),
         420,
         "info");
   }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/KeyedRequestsTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/KeyedRequestsTest.java
@@ -150,6 +150,21 @@
     assertRejected("/look/1", "X-Tenant: mill\r\n", "KEY_MISSING");
   }
 
+  @Test
+  void keysAreNotAcceptedWithoutNewsOfThemAndOpenRulesServeOn() throws Exception {
+    server.setKeyCheck(() -> false);
+
+    for (String headers : List.of("X-Key: " + KEY + "\r\n", "X-Key: unknown\r\n")) {
+      String response = call("/look/1", headers);
+      assertThat(response, containsString("HTTP/1.1 503 "));
+      assertThat(response, containsString("KEYS_STALE"));
+      assertThat(response, containsString("Retry-After: "));
+    }
+    assertThat(call("/open/1", ""), containsString("HTTP/1.1 200 "));
+    server.setKeyCheck(() -> true);
+    served("/look/1", "X-Key: " + KEY + "\r\n");
+  }
+
   @Test
   void pathWithoutRuleIsNotFoundWhateverTheKey() throws Exception {
     assertThat(call("/none/1", ""), containsString("HTTP/1.1 404 "));
