--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.UnaryOperator;
 import org.mustardstage.core.gateway.CallerLimits;
@@ -77,6 +78,12 @@
    *     it
    */
   void startVm(UnaryOperator<HostAndPort> addressOfEndpoint) throws IOException {
+    startVm(addressOfEndpoint, config());
+  }
+
+  /** Starts one more VM, which has {@code config} in force. */
+  void startVm(UnaryOperator<HostAndPort> addressOfEndpoint, GatewayConfig config)
+      throws IOException {
     HostAndPort callers = TestPorts.freeAddress();
     HostAndPort peers = TestPorts.freeAddress();
     int number = vms.size() + 1;
@@ -98,9 +105,10 @@
             0.2,
             100,
             new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
+            OptionalLong.empty(),
             420,
             "info");
-    GatewayProcess vm = new GatewayProcess(settings, new Adapter(addressOfEndpoint), 1);
+    GatewayProcess vm = new GatewayProcess(settings, new Adapter(addressOfEndpoint, config), 1);
     vm.start();
     vms.add(vm);
     callerAddresses.add(callers);
@@ -165,8 +173,10 @@
 
   private final class Adapter implements PlatformAdapter {
     private final UnaryOperator<HostAndPort> addressOfEndpoint;
+    private final GatewayConfig config;
 
-    Adapter(UnaryOperator<HostAndPort> addressOfEndpoint) {
+    Adapter(UnaryOperator<HostAndPort> addressOfEndpoint, GatewayConfig config) {
+      this.config = config;
       this.addressOfEndpoint = addressOfEndpoint;
     }
 
@@ -187,7 +197,7 @@
 
     @Override
     public Either<String, OperatorRow> readOperatorRow(String key, byte[] value) {
-      return Either.right(new OperatorRow.Config(config()));
+      return Either.right(new OperatorRow.Config(config));
     }
 
     @Override
