Read load reports with a fourth figure, how long work takes on the endpoint's machine

Cause: a load header with four figures was dropped whole, so that a VM knew nothing of the running and queued requests of such endpoints, nor of machines that turn slow. Change: EndpointReport reads the fourth figure; a missing, malformed or absurd one leaves the other three in use, and a header that can't be read is logged. WorkDurationEstimate averages reports by their age, fades without them and is bounded; EndpointState multiplies it by what responses show, which corrects a false figure. Without the figure the slowness is the same as before. Tests: with the old limit of three figures put back, 6 of 14 cases of EndpointReportTest fail. WorkDurationEstimateTest is new with its class and was not run without it. PlacementSimulationTest and ServiceSchedulerTest pass.

--- a/core/src/main/java/org/mustardstage/core/placement/AttemptResult.java
+++ b/core/src/main/java/org/mustardstage/core/placement/AttemptResult.java
@@ -1,6 +1,8 @@
 package org.mustardstage.core.placement;
 
+import com.google.common.base.Preconditions;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The result of one attempt to send a request to an endpoint.
@@ -61,6 +63,27 @@
    * @param running the number of running requests
    * @param queued the number of requests that wait for a slot
    * @param slots the number of requests that can run at the same time
+   * @param workDuration how long work takes on the endpoint's machine now, as a multiple of its
+   *     usual duration, if the endpoint says so
    */
-  public record LoadReport(int running, int queued, int slots) {}
+  public record LoadReport(int running, int queued, int slots, OptionalDouble workDuration) {
+    /** Checks the ranges. */
+    public LoadReport {
+      Preconditions.checkArgument(
+          running >= 0 && queued >= 0 && slots >= 0,
+          "running, queued and slots of a load report must not be negative: %s, %s, %s",
+          running,
+          queued,
+          slots);
+      Preconditions.checkArgument(
+          workDuration.orElse(1) > 0 && workDuration.orElse(1) < Double.POSITIVE_INFINITY,
+          "duration of work in a load report must be positive and finite: %s",
+          workDuration);
+    }
+
+    /** Creates a report that does not say how long work takes. */
+    public LoadReport(int running, int queued, int slots) {
+      this(running, queued, slots, OptionalDouble.empty());
+    }
+  }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointState.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointState.java
@@ -38,6 +38,7 @@
   private long reportedNanos;
   private double reportHalfLifeNanos = MIN_HALF_LIFE_NANOS;
   private double slowness = 1;
+  private final WorkDurationEstimate workDuration = new WorkDurationEstimate();
   private long coldUntilNanos;
   private boolean leaving;
   private long restUntilNanos = Long.MIN_VALUE / 2;
@@ -69,8 +70,17 @@
     return running;
   }
 
-  double slowness() {
-    return slowness;
+  /**
+   * Returns how long work takes here now, as a multiple of its usual duration: what the endpoint
+   * says, corrected by how long its responses took.
+   */
+  double slowness(long nowNanos) {
+    return correctedSlowness(nowNanos) * workDuration.estimate(nowNanos);
+  }
+
+  /** Returns the part of the slowness that only responses show, so that both give at least 1. */
+  private double correctedSlowness(long nowNanos) {
+    return Math.max(slowness, 1 / workDuration.slowdown(nowNanos));
   }
 
   /** Updates the registry entry; resets the estimates if the endpoint has restarted. */
@@ -79,6 +89,7 @@
       startedNanos = nowNanos;
       warmKeys.clear();
       slowness = 1;
+      workDuration.reset();
       running = 0;
       leaving = false;
       restUntilNanos = Long.MIN_VALUE / 2;
@@ -175,6 +186,7 @@
     if (report.slots() > 0) {
       slots = report.slots();
     }
+    report.workDuration().ifPresent(duration -> workDuration.addReport(nowNanos, duration));
     double others = Math.max(0, report.running() + report.queued() - running - 1);
     double before = othersRunning(nowNanos);
     othersRunning = before + REPORT_SMOOTHING_FACTOR * (others - before);
@@ -183,11 +195,19 @@
         Math.max(MIN_HALF_LIFE_NANOS, REPORT_HALF_LIFE_SERVICE_TIMES * serviceTimeNanos);
   }
 
-  void recordServiceTime(double actualNanos, double expectedNanos) {
+  /**
+   * Updates the slowness from a response. Below 1 it corrects an endpoint that says that its work
+   * takes longer than it does; an endpoint that says nothing can't be faster than usual.
+   *
+   * @param expectedNanos the expected service time at the present slowness
+   */
+  void recordServiceTime(long nowNanos, double actualNanos, double expectedNanos) {
     if (expectedNanos <= 0) {
       return;
     }
-    double ratio = Math.min(MAX_SLOWNESS, actualNanos / (expectedNanos / slowness));
-    slowness = Math.max(1, slowness + SLOWNESS_SMOOTHING_FACTOR * (ratio - slowness));
+    double before = correctedSlowness(nowNanos);
+    double ratio = Math.min(MAX_SLOWNESS, actualNanos / (expectedNanos / before));
+    slowness = before + SLOWNESS_SMOOTHING_FACTOR * (ratio - before);
+    slowness = correctedSlowness(nowNanos);
   }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -222,7 +222,7 @@
       updateEstimates(nowNanos, placed, state, result);
     } else if (result.status() == AttemptResult.Status.SILENT) {
       state.recordServiceTime(
-          (double) result.elapsedNanos(), (double) placed.expectedResponseNanos());
+          nowNanos, (double) result.elapsedNanos(), (double) placed.expectedResponseNanos());
     }
     boolean accepted = state.acceptsRequests(nowNanos);
     boolean recovered = state.circuitBreaker().recordResult(nowNanos, result.status());
@@ -256,7 +256,7 @@
           serviceTimes.addSample(
               request.rule(),
               placed.warmProbability() >= 0.5,
-              (long) (serviceTimeNanos / state.slowness()));
+              (long) (serviceTimeNanos / state.slowness(nowNanos)));
       if (placed.warmProbability() < 1) {
         warmProbabilityByRegion.addSample(regionOf(state), ranWarm);
       }
@@ -266,8 +266,10 @@
               : meanServiceTimeNanos + 0.05 * (serviceTimeNanos - meanServiceTimeNanos);
     }
     state.recordServiceTime(
+        nowNanos,
         (double) serviceTimeNanos,
-        serviceTimes.expectedNanos(request.rule(), placed.warmProbability()) * state.slowness());
+        serviceTimes.expectedNanos(request.rule(), placed.warmProbability())
+            * state.slowness(nowNanos));
     request.affinityKey().ifPresent(key -> state.warmKeys().recordRequest(nowNanos, key));
   }
 
@@ -532,7 +534,7 @@
       double queueWaitNanos) {
     double warmProbability = warmProbability(nowNanos, request, state, rank);
     double serviceTimeNanos =
-        serviceTimes.expectedNanos(request.rule(), warmProbability) * state.slowness();
+        serviceTimes.expectedNanos(request.rule(), warmProbability) * state.slowness(nowNanos);
     long roundTripNanos = roundTrips.roundTripNanos(state.endpoint().zone());
     double freeSlots = state.freeSlots(nowNanos);
     double slotWaitNanos =
@@ -554,7 +556,7 @@
             ? responseNanos
             : roundTripNanos
                 + serviceTimes.expectedNanos(request.rule(), 0)
-                    * state.slowness()
+                    * state.slowness(nowNanos)
                     * SERVICE_TIME_MARGIN;
     return new Candidate(
         state,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointReport.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointReport.java
@@ -1,9 +1,12 @@
 package org.mustardstage.entry.gateway;
 
+import com.google.common.base.Splitter;
 import com.google.common.primitives.Doubles;
 import com.google.common.primitives.Ints;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.mustardstage.core.placement.AttemptResult.LoadReport;
 import org.mustardstage.core.placement.EndpointNotice;
 import org.mustardstage.core.placement.LimitNotice;
@@ -23,6 +26,12 @@
   private static final int STATUS_UNAVAILABLE = 503;
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  private static final int COUNTS_OF_LOAD = 3;
+  private static final double USUAL_PERCENT = 100;
+
+  /** A larger count is a mistake; sums of two counts stay within the range of an int. */
+  private static final int MAX_COUNT = 1_000_000;
+
   /** Longer times are read as this one. It keeps the milliseconds within the range of a long. */
   private static final double MAX_RETRY_AFTER_SECONDS = 1e9;
 
@@ -70,17 +79,38 @@
     return Optional.of(Duration.ofMillis((long) Math.ceil(millis)));
   }
 
+  /**
+   * Reads the value of a load header: running, queued, slots and, optionally, how long work takes
+   * as a percentage of its usual duration. If only that one can't be read, the other three still
+   * count. A value that can't be read is logged.
+   */
   static Optional<LoadReport> parseLoad(String text) {
-    String[] parts = text.split(",", -1);
-    if (parts.length != 3) {
+    List<String> parts = Splitter.on(',').trimResults().splitToList(text);
+    List<Integer> counts =
+        parts.stream().limit(COUNTS_OF_LOAD).map(EndpointReport::parseCount).toList();
+    if (parts.size() < COUNTS_OF_LOAD || parts.size() > COUNTS_OF_LOAD + 1 || counts.contains(-1)) {
+      logUnreadable("load", text, "running, queued, slots and, optionally, duration of work in %");
       return Optional.empty();
     }
-    Integer runningCount = Ints.tryParse(parts[0].trim());
-    Integer queuedCount = Ints.tryParse(parts[1].trim());
-    Integer slots = Ints.tryParse(parts[2].trim());
-    if (runningCount == null || queuedCount == null || slots == null) {
-      return Optional.empty();
+    OptionalDouble workDuration =
+        parts.size() > COUNTS_OF_LOAD
+            ? parseWorkDuration(parts.get(COUNTS_OF_LOAD))
+            : OptionalDouble.empty();
+    return Optional.of(new LoadReport(counts.get(0), counts.get(1), counts.get(2), workDuration));
+  }
+
+  /** Returns a count within reason, or -1. */
+  private static int parseCount(String text) {
+    Integer count = Ints.tryParse(text);
+    return count == null || count < 0 || count > MAX_COUNT ? -1 : count;
+  }
+
+  private static OptionalDouble parseWorkDuration(String text) {
+    Double percent = Doubles.tryParse(text);
+    if (percent == null || !(percent > 0) || percent.isInfinite()) {
+      logUnreadable("load", text, "a duration of work in %, larger than 0");
+      return OptionalDouble.empty();
     }
-    return Optional.of(new LoadReport(runningCount, queuedCount, slots));
+    return OptionalDouble.of(percent / USUAL_PERCENT);
   }
 }
