Send less blindly to endpoints that many VMs share, and leave the own region in time

Cause: a VM hears from an endpoint about once a second; its estimate of the other VMs' requests faded to none in between, so all VMs sent to endpoints whose slots were taken, which queued or rejected the requests. Requests that waited here for a slot of their own region were sent to another region only when late. Where cold requests take longer than the objective, the limit on falling shares of regions was never kept, as no candidate passed its condition on cold requests. Change: OthersLoadEstimate moves from the last report to the recent mean, which fades; a waiting request takes the best free slot that meets the objective just before none does any more; the region that must get a request to keep the limit gets it if it is expected to meet the objective. The tallies of LoadSimulation move to LoadTally.

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointState.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointState.java
@@ -6,14 +6,6 @@
 
 /** A scheduler's view of one endpoint: load, speed, warm affinity keys and circuit breaker. */
 final class EndpointState {
-  /** Smoothing factor of the load by other schedulers, for each load report. */
-  private static final double REPORT_SMOOTHING_FACTOR = 0.5;
-
-  /** Half-life of the load by other schedulers since the last report, in mean service times. */
-  private static final double REPORT_HALF_LIFE_SERVICE_TIMES = 1.5;
-
-  private static final double MIN_HALF_LIFE_NANOS = 100e6;
-
   /** Smoothing factor of the slowness, for each response. */
   private static final double SLOWNESS_SMOOTHING_FACTOR = 0.15;
 
@@ -34,9 +26,7 @@
   private long startedNanos;
   private int slots;
   private int running;
-  private double othersRunning;
-  private long reportedNanos;
-  private double reportHalfLifeNanos = MIN_HALF_LIFE_NANOS;
+  private final OthersLoadEstimate othersLoad = new OthersLoadEstimate();
   private double slowness = 1;
   private final WorkDurationEstimate workDuration = new WorkDurationEstimate();
   private long coldUntilNanos;
@@ -157,12 +147,7 @@
 
   /** Returns the estimated number of free slots; negative when requests are queued there. */
   double freeSlots(long nowNanos) {
-    return slots - running - othersRunning(nowNanos);
-  }
-
-  private double othersRunning(long nowNanos) {
-    double age = nowNanos - reportedNanos;
-    return othersRunning * Math.exp(-Math.log(2) * age / reportHalfLifeNanos);
+    return slots - running - othersLoad.estimate(nowNanos);
   }
 
   void recordSent(long nowNanos) {
@@ -188,11 +173,7 @@
     }
     report.workDuration().ifPresent(duration -> workDuration.addReport(nowNanos, duration));
     double others = Math.max(0, report.running() + report.queued() - running - 1);
-    double before = othersRunning(nowNanos);
-    othersRunning = before + REPORT_SMOOTHING_FACTOR * (others - before);
-    reportedNanos = nowNanos;
-    reportHalfLifeNanos =
-        Math.max(MIN_HALF_LIFE_NANOS, REPORT_HALF_LIFE_SERVICE_TIMES * serviceTimeNanos);
+    othersLoad.addReport(nowNanos, others, serviceTimeNanos);
   }
 
   /**
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -43,6 +43,9 @@
   /** Number of queued requests that one pass examines; those behind them get no slot in it. */
   private static final int MAX_EXAMINED_REQUESTS = 64;
 
+  /** A few times the interval in which queued requests are reconsidered, so that none misses it. */
+  private static final double LAST_CHANCE_NANOS = 20e6;
+
   private static final long MIN_RETRY_AFTER_MILLIS = 80;
   private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
 
@@ -307,6 +310,10 @@
     if (choice.best().isEmpty()) {
       return Optional.of(reject(nowNanos, request, RejectionReason.NO_ENDPOINT));
     }
+    Optional<Candidate> lastInTime = lastInTime(nowNanos, request, choice);
+    if (lastInTime.isPresent()) {
+      return Optional.of(place(nowNanos, request, lastInTime.get()));
+    }
     if (nowNanos + choice.best().get().responseNanos() > request.objectiveDeadlineNanos()) {
       return choice
           .bestFree()
@@ -316,6 +323,23 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns the best candidate with a free slot if it meets the objective now but not much later. A
+   * request that waits for a better one, such as the endpoint of the own region that has its key
+   * warm, must not wait until only late responses are left.
+   */
+  private static Optional<Candidate> lastInTime(
+      long nowNanos, SchedulerRequest request, Choice choice) {
+    return choice
+        .bestFree()
+        .filter(
+            free -> {
+              double spareNanos =
+                  request.objectiveDeadlineNanos() - nowNanos - free.responseNanos();
+              return spareNanos >= 0 && spareNanos < LAST_CHANCE_NANOS;
+            });
+  }
+
   /**
    * Places a request that will miss its objective if a slot is free, and rejects it otherwise. A
    * late response is better than none, but not worth a slot that another request could use.
@@ -454,7 +478,7 @@
 
   /**
    * Returns a candidate in the region that must receive the next request to keep the limit on
-   * region shifts, if it has a free slot and meets the objective even when the key is cold there.
+   * region shifts, if it has a free slot and is expected to meet the objective.
    */
   private Optional<Candidate> requiredRegionCandidate(
       long nowNanos, SchedulerRequest request, List<Candidate> candidates) {
@@ -467,7 +491,7 @@
         c ->
             c.otherRegion().equals(required)
                 && c.hasFreeSlot()
-                && nowNanos + c.coldResponseNanos() <= request.objectiveDeadlineNanos());
+                && nowNanos + c.responseNanos() <= request.objectiveDeadlineNanos());
   }
 
   private static Optional<Candidate> cheapest(
--- a/core/src/test/java/org/mustardstage/core/placement/LoadSimulation.java
+++ b/core/src/test/java/org/mustardstage/core/placement/LoadSimulation.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -23,8 +25,10 @@
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.id.TenantName;
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.tenant.Tenant;
 
 /**
  * Simulates a load pattern in virtual time: VMs with one scheduler each, endpoints with slots, a
@@ -35,7 +39,6 @@
   private static final ServiceName SERVICE = new ServiceName("replayed");
   private static final long QUEUE_POLL_NANOS = 5 * NANOS_PER_MILLI;
   private static final double WARM_SERVICE_TIME_SHARE = 0.3;
-  private static final int MIN_WINDOW_REQUESTS = 100;
 
   /**
    * A zone with its VMs, its endpoints and its demand.
@@ -57,31 +60,30 @@
   record RequestType(
       RoutingRule rule, long serviceTimeNanos, double share, int affinityKeys, double weight) {}
 
-  /** The capacities of each endpoint. */
-  record EndpointSpec(int slots, int queueCapacity, int warmKeyCapacity) {}
-
   /**
-   * The results of a simulation.
+   * What differs from usual demand from the fifth second on.
    *
-   * @param weightedSuccessShare the weighted share of requests that met the latency objective; late
-   *     responses count 0.2
-   * @param servedShare the share of requests with a response before the deadline
-   * @param rejectedShare the share of requests without one
-   * @param warmShare the share of started requests whose affinity key was warm
-   * @param meanQueueMillis the mean time that started requests were queued at the endpoint
-   * @param maxRegionShift the largest share of a region's requests that ran in another region than
-   *     in the two seconds before
+   * @param demandFactor the factor on the demand
+   * @param tenants the number of tenants, from the fifth second and before; 0 for none
+   * @param hotFactor the factor on the demand of one tenant, which is added to the others'
+   * @param abusivePercent the percentage of callers that repeat a rejected request at once and
+   *     often
+   * @param slowEndpoints the percentage of endpoints that are slow; if not 0, endpoints report it
+   * @param slowdown the factor on the duration of their work
    */
-  record Summary(
-      double weightedSuccessShare,
-      double servedShare,
-      double rejectedShare,
-      double warmShare,
-      double meanQueueMillis,
-      double maxRegionShift) {}
+  record Disturbance(
+      double demandFactor,
+      int tenants,
+      double hotFactor,
+      int abusivePercent,
+      int slowEndpoints,
+      double slowdown) {
+    static final Disturbance NONE = new Disturbance(1, 0, 1, 0, 0, 1);
+    static final long FROM_NANOS = 5 * NANOS_PER_SECOND;
+  }
 
-  /** A request that was sent to an endpoint. */
-  private record SentRequest(long atNanos, RegionId callerRegion, RegionId endpointRegion) {}
+  /** The capacities of each endpoint. */
+  record EndpointSpec(int slots, int queueCapacity, int warmKeyCapacity) {}
 
   private final List<ZoneLoad> zoneLoads;
   private final List<RequestType> requestTypes;
@@ -95,15 +97,8 @@
   private long nowNanos = NANOS_PER_SECOND;
   private long sequence;
   private long nextRequestId = 1;
-  private double totalWeight;
-  private double achievedWeight;
-  private long requestCount;
-  private long responseCount;
-  private long rejectionCount;
-  private long startedCount;
-  private long warmStartCount;
-  private double totalQueueNanos;
-  private final List<SentRequest> sentRequests = new ArrayList<>();
+  private final LoadTally tally = new LoadTally();
+  private Disturbance disturbance = Disturbance.NONE;
 
   private record Event(long atNanos, long sequence, Runnable task) implements Comparable<Event> {
     @Override
@@ -150,9 +145,59 @@
     }
   }
 
-  /** A request as its caller sees it; {@code retry} marks the one retry after a rejection. */
-  private record FakeRequest(
-      RequestType type, String affinityKey, long arrivalNanos, long deadlineNanos, boolean retry) {}
+  /** A request as its caller sees it, with the number of retries after rejections so far. */
+  record FakeRequest(
+      RequestType type,
+      Optional<Tenant> tenant,
+      RegionId region,
+      String affinityKey,
+      long arrivalNanos,
+      long deadlineNanos,
+      int retries) {
+    FakeRequest retried() {
+      return new FakeRequest(
+          type, tenant, region, affinityKey, arrivalNanos, deadlineNanos, retries + 1);
+    }
+  }
+
+  /** Simulates {@code newDisturbance} from the fifth second on. */
+  LoadSimulation with(Disturbance newDisturbance) {
+    disturbance = newDisturbance;
+    return this;
+  }
+
+  private boolean isDisturbed() {
+    return nowNanos >= Disturbance.FROM_NANOS;
+  }
+
+  /** Returns how long work takes at an endpoint, as a multiple of its usual duration. */
+  private double workDuration(FakeEndpoint endpoint) {
+    String id = endpoint.registration.id().value();
+    boolean slow = isDisturbed() && Math.floorMod(id.hashCode(), 100) < disturbance.slowEndpoints();
+    return slow ? disturbance.slowdown() : 1;
+  }
+
+  /** Returns the tenant of a new request: shares fall with the rank, and the second may be hot. */
+  private Optional<Tenant> drawTenant() {
+    if (disturbance.tenants() == 0) {
+      return Optional.empty();
+    }
+    double hotWeight = (isDisturbed() ? disturbance.hotFactor() - 1 : 0) * 0.5;
+    double total = hotWeight;
+    for (int i = 0; i < disturbance.tenants(); i++) {
+      total += 1.0 / (i + 1);
+    }
+    double draw = random.nextDouble() * total - hotWeight;
+    int number = 1;
+    if (draw >= 0) {
+      number = 0;
+      for (; (draw -= 1.0 / (number + 1)) >= 0 && number < disturbance.tenants() - 1; ) {
+        number++;
+      }
+    }
+    return Optional.of(
+        new Tenant(new TenantName("t-" + number), OptionalInt.empty(), Set.of(), Optional.empty()));
+  }
 
   LoadSimulation(
       List<ZoneLoad> zoneLoads,
@@ -224,7 +269,7 @@
         rule, serviceTimeMillis * NANOS_PER_MILLI, share, affinityKeys, priority == 1 ? 2 : 1);
   }
 
-  Summary run(int seconds) {
+  LoadTally.Summary run(int seconds) {
     long endNanos = nowNanos + seconds * NANOS_PER_SECOND;
     for (ZoneLoad zoneLoad : zoneLoads) {
       scheduleArrival(zoneLoad, endNanos);
@@ -235,49 +280,7 @@
       nowNanos = event.atNanos();
       event.task().run();
     }
-    return new Summary(
-        achievedWeight / totalWeight,
-        responseCount / (double) requestCount,
-        rejectionCount / (double) requestCount,
-        warmStartCount / (double) startedCount,
-        totalQueueNanos / startedCount / NANOS_PER_MILLI,
-        maxRegionShift());
-  }
-
-  private double maxRegionShift() {
-    double max = 0;
-    for (RegionId region : Set.copyOf(regions.values())) {
-      for (long from = NANOS_PER_SECOND; from < nowNanos; from += NANOS_PER_SECOND / 4) {
-        Map<RegionId, Double> before = shares(region, from);
-        Map<RegionId, Double> after = shares(region, from + 2 * NANOS_PER_SECOND);
-        if (before.isEmpty() || after.isEmpty()) {
-          continue;
-        }
-        double shift = 0;
-        for (RegionId to : Set.copyOf(regions.values())) {
-          shift += Math.abs(after.getOrDefault(to, 0.0) - before.getOrDefault(to, 0.0)) / 2;
-        }
-        max = Math.max(max, shift);
-      }
-    }
-    return max;
-  }
-
-  /**
-   * Returns how the requests of a region's callers were divided among regions in a window of two
-   * seconds, or an empty map if there were too few requests.
-   */
-  private Map<RegionId, Double> shares(RegionId callerRegion, long fromNanos) {
-    List<SentRequest> window =
-        sentRequests.stream()
-            .filter(s -> s.callerRegion().equals(callerRegion))
-            .filter(s -> s.atNanos() >= fromNanos && s.atNanos() < fromNanos + 2 * NANOS_PER_SECOND)
-            .toList();
-    Map<RegionId, Double> shares = new HashMap<>();
-    if (window.size() >= MIN_WINDOW_REQUESTS) {
-      window.forEach(s -> shares.merge(s.endpointRegion(), 1.0 / window.size(), Double::sum));
-    }
-    return shares;
+    return tally.summary(Set.copyOf(regions.values()), nowNanos);
   }
 
   private void schedule(long delayNanos, Runnable task) {
@@ -298,7 +301,11 @@
   private void scheduleArrival(ZoneLoad zoneLoad, long endNanos) {
     double wave = 1 + amplitude * Math.sin(2 * Math.PI * (nowNanos / 36e9 + zoneLoad.phase()));
     double gapNanos =
-        -Math.log(1 - random.nextDouble()) * 1e9 / (zoneLoad.requestsPerSecond() * wave);
+        -Math.log(1 - random.nextDouble())
+            * 1e9
+            / (zoneLoad.requestsPerSecond()
+                * wave
+                * (isDisturbed() ? disturbance.demandFactor() : 1));
     schedule(
         (long) gapNanos,
         () -> {
@@ -324,12 +331,13 @@
     FakeRequest request =
         new FakeRequest(
             type,
+            drawTenant(),
+            new RegionId(zoneLoad.region()),
             affinityKey,
             nowNanos,
             nowNanos + type.rule().timeoutMillis() * NANOS_PER_MILLI,
-            /* retry= */ false);
-    requestCount++;
-    totalWeight += type.weight();
+            /* retries= */ 0);
+    tally.recordArrival(request);
     List<FakeVm> vmsInZone =
         vms.stream().filter(vm -> vm.zone.value().equals(zoneLoad.zone())).toList();
     offer(vmsInZone.get(random.nextInt(vmsInZone.size())), request);
@@ -340,7 +348,7 @@
         new SchedulerRequest(
             nextRequestId++,
             request.type().rule(),
-            Optional.empty(),
+            request.tenant(),
             Optional.of(request.affinityKey()),
             nowNanos,
             nowNanos + request.type().rule().latencyObjectiveMillis() * NANOS_PER_MILLI,
@@ -363,27 +371,22 @@
 
   private void retryOrReject(FakeVm vm, FakeRequest request, long retryAfterMillis) {
     long leftNanos = request.deadlineNanos() - nowNanos;
-    if (request.retry() || leftNanos < 50 * NANOS_PER_MILLI) {
-      rejectionCount++;
+    boolean abusive =
+        isDisturbed()
+            && Math.floorMod(request.affinityKey().hashCode(), 100) < disturbance.abusivePercent();
+    if (request.retries() >= (abusive ? 20 : 1) || leftNanos < 50 * NANOS_PER_MILLI) {
       return;
     }
     long delayNanos = Math.min(retryAfterMillis * NANOS_PER_MILLI, leftNanos / 3);
-    FakeRequest retry =
-        new FakeRequest(
-            request.type(),
-            request.affinityKey(),
-            request.arrivalNanos(),
-            request.deadlineNanos(),
-            true);
-    schedule(delayNanos, () -> offer(vm, retry));
+    schedule(abusive ? 30 * NANOS_PER_MILLI : delayNanos, () -> offer(vm, request.retried()));
   }
 
   private void send(FakeVm vm, FakeRequest request, PlacementDecision.Placed placed) {
     FakeEndpoint endpoint = endpoints.get(placed.endpoint().id());
     long oneWayNanos = oneWayNanos(vm.zone, endpoint.registration.zone());
     long sentNanos = nowNanos;
-    sentRequests.add(
-        new SentRequest(nowNanos, regions.get(vm.zone), regions.get(endpoint.registration.zone())));
+    tally.recordSent(
+        nowNanos, request, regions.get(vm.zone), regions.get(endpoint.registration.zone()));
     schedule(
         oneWayNanos, () -> arriveAtEndpoint(vm, request, placed, endpoint, oneWayNanos, sentNanos));
   }
@@ -404,6 +407,7 @@
       long sentNanos) {
     if (endpoint.running >= endpointSpec.slots()
         && endpoint.queue.size() >= endpointSpec.queueCapacity()) {
+      tally.recordRefusal();
       respond(vm, request, placed, endpoint, oneWayNanos, sentNanos, AttemptResult.Status.REFUSED);
       return;
     }
@@ -411,15 +415,14 @@
     Runnable start =
         () -> {
           endpoint.running++;
-          totalQueueNanos += nowNanos - arrivalNanos;
-          startedCount++;
           boolean warm = endpoint.touchKey(request.affinityKey());
-          warmStartCount += warm ? 1 : 0;
+          tally.recordStart(warm, nowNanos - arrivalNanos);
           double spread = 0.75 + 0.5 * random.nextDouble();
           long serviceTimeNanos =
               (long)
                   (request.type().serviceTimeNanos()
                       * (warm ? WARM_SERVICE_TIME_SHARE : 1)
+                      * workDuration(endpoint)
                       * spread);
           schedule(
               serviceTimeNanos,
@@ -454,7 +457,13 @@
       long sentNanos,
       AttemptResult.Status status) {
     AttemptResult.LoadReport report =
-        new AttemptResult.LoadReport(endpoint.running, endpoint.queue.size(), endpointSpec.slots());
+        new AttemptResult.LoadReport(
+            endpoint.running,
+            endpoint.queue.size(),
+            endpointSpec.slots(),
+            disturbance.slowEndpoints() == 0
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(workDuration(endpoint) * (0.8 + 0.4 * random.nextDouble())));
     schedule(
         oneWayNanos,
         () -> {
@@ -468,22 +477,11 @@
                   Optional.of(report),
                   EndpointNotice.NONE));
           if (status == AttemptResult.Status.ANSWERED) {
-            recordResponse(request);
+            tally.recordResponse(nowNanos, request);
           } else {
             retryOrReject(vm, request, 100);
           }
           vm.scheduler.processQueue(nowNanos).forEach(decision -> onDecision(vm, decision));
         });
   }
-
-  private void recordResponse(FakeRequest request) {
-    if (nowNanos > request.deadlineNanos()) {
-      rejectionCount++;
-      return;
-    }
-    responseCount++;
-    long objectiveDeadlineNanos =
-        request.arrivalNanos() + request.type().rule().latencyObjectiveMillis() * NANOS_PER_MILLI;
-    achievedWeight += request.type().weight() * (nowNanos <= objectiveDeadlineNanos ? 1 : 0.2);
-  }
 }
--- a/core/src/test/java/org/mustardstage/core/placement/PlacementSimulationTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/PlacementSimulationTest.java
@@ -8,8 +8,8 @@
 import org.junit.jupiter.api.Test;
 import org.mustardstage.core.placement.LoadSimulation.EndpointSpec;
 import org.mustardstage.core.placement.LoadSimulation.RequestType;
-import org.mustardstage.core.placement.LoadSimulation.Summary;
 import org.mustardstage.core.placement.LoadSimulation.ZoneLoad;
+import org.mustardstage.core.placement.LoadTally.Summary;
 
 /**
  * Simulates many VMs whose schedulers share few endpoints. Guards against long queues, evicted
