--- a/core/src/main/java/org/mustardstage/core/placement/EndpointState.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointState.java
@@ -6,14 +6,6 @@
 
 /** A scheduler's view of one endpoint: load, speed, warm affinity keys and circuit breaker. */
 final class EndpointState {
-  /** Smoothing factor of the load by other schedulers, for each load report. */
-  private static final double REPORT_SMOOTHING_FACTOR = 0.5;
-
-  /** Half-life of the load by other schedulers since the last report, in mean service times. */
-  private static final double REPORT_HALF_LIFE_SERVICE_TIMES = 1.5;
-
-  private static final double MIN_HALF_LIFE_NANOS = 100e6;
-
   /** Smoothing factor of the slowness, for each response. */
   private static final double SLOWNESS_SMOOTHING_FACTOR = 0.15;
 
@@ -34,10 +26,9 @@
   private long startedNanos;
   private int slots;
   private int running;
-  private double othersRunning;
-  private long reportedNanos;
-  private double reportHalfLifeNanos = MIN_HALF_LIFE_NANOS;
+  private final OthersLoadEstimate othersLoad = new OthersLoadEstimate();
   private double slowness = 1;
+  private final WorkDurationEstimate workDuration = new WorkDurationEstimate();
   private long coldUntilNanos;
   private boolean leaving;
   private long restUntilNanos = Long.MIN_VALUE / 2;
@@ -69,8 +60,17 @@
     return running;
   }
 
-  double slowness() {
-    return slowness;
+  /**
+   * Returns how long work takes here now, as a multiple of its usual duration: what the endpoint
+   * says, corrected by how long its responses took.
+   */
+  double slowness(long nowNanos) {
+    return correctedSlowness(nowNanos) * workDuration.estimate(nowNanos);
+  }
+
+  /** Returns the part of the slowness that only responses show, so that both give at least 1. */
+  private double correctedSlowness(long nowNanos) {
+    return Math.max(slowness, 1 / workDuration.slowdown(nowNanos));
   }
 
   /** Updates the registry entry; resets the estimates if the endpoint has restarted. */
@@ -79,6 +79,7 @@
       startedNanos = nowNanos;
       warmKeys.clear();
       slowness = 1;
+      workDuration.reset();
       running = 0;
       leaving = false;
       restUntilNanos = Long.MIN_VALUE / 2;
@@ -146,12 +147,7 @@
 
   /** Returns the estimated number of free slots; negative when requests are queued there. */
   double freeSlots(long nowNanos) {
-    return slots - running - othersRunning(nowNanos);
-  }
-
-  private double othersRunning(long nowNanos) {
-    double age = nowNanos - reportedNanos;
-    return othersRunning * Math.exp(-Math.log(2) * age / reportHalfLifeNanos);
+    return slots - running - othersLoad.estimate(nowNanos);
   }
 
   void recordSent(long nowNanos) {
@@ -175,19 +171,24 @@
     if (report.slots() > 0) {
       slots = report.slots();
     }
+    report.workDuration().ifPresent(duration -> workDuration.addReport(nowNanos, duration));
     double others = Math.max(0, report.running() + report.queued() - running - 1);
-    double before = othersRunning(nowNanos);
-    othersRunning = before + REPORT_SMOOTHING_FACTOR * (others - before);
-    reportedNanos = nowNanos;
-    reportHalfLifeNanos =
-        Math.max(MIN_HALF_LIFE_NANOS, REPORT_HALF_LIFE_SERVICE_TIMES * serviceTimeNanos);
+    othersLoad.addReport(nowNanos, others, serviceTimeNanos);
   }
 
-  void recordServiceTime(double actualNanos, double expectedNanos) {
+  /**
+   * Updates the slowness from a response. Below 1 it corrects an endpoint that says that its work
+   * takes longer than it does; an endpoint that says nothing can't be faster than usual.
+   *
+   * @param expectedNanos the expected service time at the present slowness
+   */
+  void recordServiceTime(long nowNanos, double actualNanos, double expectedNanos) {
     if (expectedNanos <= 0) {
       return;
     }
-    double ratio = Math.min(MAX_SLOWNESS, actualNanos / (expectedNanos / slowness));
-    slowness = Math.max(1, slowness + SLOWNESS_SMOOTHING_FACTOR * (ratio - slowness));
+    double before = correctedSlowness(nowNanos);
+    double ratio = Math.min(MAX_SLOWNESS, actualNanos / (expectedNanos / before));
+    slowness = before + SLOWNESS_SMOOTHING_FACTOR * (ratio - before);
+    slowness = correctedSlowness(nowNanos);
   }
 }
