--- a/core/src/main/java/org/mustardstage/core/member/PeerRelease.java
+++ b/core/src/main/java/org/mustardstage/core/member/PeerRelease.java
@@ -11,6 +11,9 @@
   /** VMs say whether they are cut off from all endpoints, and relay requests for those that are. */
   public static final int RELAYED_REQUESTS = 2;
 
+  /** VMs hand out the quotas of tenants. */
+  public static final int TENANT_QUOTAS = 3;
+
   /** VMs say which release they speak. */
   public static final int CURRENT = 3;
 
--- a/core/src/main/java/org/mustardstage/core/member/Representatives.java
+++ b/core/src/main/java/org/mustardstage/core/member/Representatives.java
@@ -52,7 +52,12 @@
   /** Returns the {@code count} first of {@code candidates} by hash. */
   public static ImmutableList<Member> first(
       int count, String group, Collection<Member> candidates) {
-    MemberRanks ranks = new MemberRanks();
+    return first(new MemberRanks(), count, group, candidates);
+  }
+
+  /** Does the same as {@link #first(int, String, Collection)}, with ranks that are kept. */
+  public static ImmutableList<Member> first(
+      MemberRanks ranks, int count, String group, Collection<Member> candidates) {
     return candidates.stream()
         .sorted(
             Comparator.<Member>comparingLong(member -> ranks.rank(group, member.vm()))
