Bound the tenants' requests on the traffic thread: 429 with a time when a quota is used up

Cause: core.quota decided nothing yet: no request asked it, and no message carried its shares and permits. Settings quotaWindowSeconds, quotaExcessShare and quotaReserve; events 110 and 111. Without a tenant that has a quota nothing is sent and nothing changes. Result: AttemptPermitTest, a case of GatewaySettingsReaderTest and five of PeerCodecTest pass; not run without the change. RelayTest, GatewayControlTest, PeerReleasesTest and PeerMessagesEvolutionTest pass. Seen once or twice and not traced yet: GatewayTest.requestIsSentElsewhereWhenItsEndpointIsGone (502 for 200, 2 of 3 runs) and CutOffVmTest case 5 (port stayed in use, 1 of 1 run).

--- a/core/src/main/java/org/mustardstage/core/quota/TenantQuotas.java
+++ b/core/src/main/java/org/mustardstage/core/quota/TenantQuotas.java
@@ -265,6 +265,23 @@
     }
   }
 
+  /** Returns whether this VM hands out the quotas of any group. */
+  public boolean ownsAny() {
+    return owners.values().stream().anyMatch(owner -> owner.share() > 0);
+  }
+
+  /** Returns the part of the quotas that this VM hands out, 0 to 1, by group. */
+  public ImmutableMap<Integer, Double> ownedShares() {
+    ImmutableMap.Builder<Integer, Double> shares = ImmutableMap.builder();
+    owners.forEach(
+        (group, owner) -> {
+          if (owner.share() > 0) {
+            shares.put(group, owner.share());
+          }
+        });
+    return shares.buildOrThrow();
+  }
+
   /** Returns what this VM knows of the quotas of tenants that sent requests to it or it owns. */
   public ImmutableList<QuotaStatus> status(long nowNanos) {
     return quotas.keySet().stream()
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -430,6 +430,7 @@
         case PeerMessage.EndpointLimits limits -> logGatewayMessage(from);
         case PeerMessage.AttemptLost lost -> logGatewayMessage(from);
         case PeerMessage.RequestSurvived survived -> logGatewayMessage(from);
+        case PeerMessage.Quota quota -> logGatewayMessage(from);
         case PeerMessage.RequestBlocks blocks -> logGatewayMessage(from);
       }
     }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -18,6 +18,7 @@
 import org.mustardstage.core.gateway.StorePosition;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.VmIncarnation;
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.lookup.LargeVmSelector;
@@ -36,6 +37,8 @@
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
 import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.core.quota.QuotaAction;
+import org.mustardstage.core.quota.QuotaMessage;
 import org.mustardstage.entry.gateway.RowStore.StoredRow;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
@@ -105,6 +108,9 @@
     /** Returns the limits of endpoints in force; unlike the others, not an event. */
     ImmutableSet<EndpointLimit> limitsInForce();
 
+    /** Called when another VM has sent a message about the quotas of tenants. */
+    void onQuotaMessage(VmId from, QuotaMessage message);
+
     /** Called when requests are blocked, as they have ended several endpoints. */
     void onRequestBlocks(List<RequestBlock> blocks);
   }
@@ -182,6 +188,18 @@
         });
   }
 
+  /** Sends messages about the quotas of tenants to other VMs. */
+  void sendQuotaMessages(List<QuotaAction.Send> messages) {
+    eventloop.execute(
+        () -> {
+          MemberView view = memberView.get();
+          for (QuotaAction.Send send : messages) {
+            view.find(send.to())
+                .ifPresent(to -> network.send(to, new PeerMessage.Quota(send.message())));
+          }
+        });
+  }
+
   @Override
   public void onLost(LostAttempt lost) {
     eventloop.execute(() -> crashExchange.onLost(memberView.get(), lost));
@@ -507,6 +525,7 @@
         case PeerMessage.EndpointsLeaving endpoints ->
             deployment.markLeaving(endpoints.endpoints());
         case PeerMessage.EndpointLimits limits -> stateListener.onEndpointLimits(limits.limits());
+        case PeerMessage.Quota quota -> stateListener.onQuotaMessage(from.vm(), quota.message());
         case PeerMessage.AttemptLost lost ->
             crashExchange.onAttemptLost(memberView.get(), from, lost.attempt());
         case PeerMessage.RequestSurvived survived ->
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
@@ -31,6 +31,7 @@
     server.setLeavingListener(control::onEndpointLeaving);
     server.setLimitListener(control::onEndpointLimit);
     server.setCrashListener(control);
+    server.setQuotaSender(control::sendQuotaMessages);
     server.setCutOffListener(control::setCutOff);
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -22,6 +22,7 @@
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.overload.BufferBudget;
@@ -30,6 +31,8 @@
 import org.mustardstage.core.placement.RelaySelector;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.core.quota.QuotaAction;
+import org.mustardstage.core.quota.QuotaMessage;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
 import org.mustardstage.entry.traffic.CallerConnections;
@@ -63,6 +66,7 @@
   private final RelayNetwork relayNetwork;
   private final GatewayServlet servlet;
   private final CrashGuard crashGuard = new CrashGuard();
+  private final QuotaGate quotas;
   private final HttpServer callerServer;
   private final List<HttpServer> otherServers = new ArrayList<>();
   private Optional<GatewayConfig> config = Optional.empty();
@@ -86,6 +90,7 @@
             .withFatalErrorHandler((e, context) -> EventLog.log(Event.TRAFFIC_FAULT, e))
             .build();
     this.dispatcher = new Dispatcher(settings, eventloop, System::nanoTime);
+    this.quotas = new QuotaGate(settings, eventloop, System::nanoTime);
     HeaderNames headerNames = adapter.headerNames();
     BufferBudget<EndpointConnection> responseBuffers =
         new BufferBudget<>((long) (RESPONSE_BUFFERS_HEAP_SHARE * heapBytes));
@@ -112,6 +117,7 @@
                 linkMonitor,
                 relayNetwork,
                 crashGuard,
+                quotas,
                 headerNames),
             () -> rejectsNewRequests,
             new RequestBodyReader((long) (REQUEST_BODIES_HEAP_SHARE * heapBytes)),
@@ -142,6 +148,11 @@
     dispatcher.setLimitListener(listener);
   }
 
+  /** Sets what sends messages about quotas. The sender is called on the traffic thread. */
+  void setQuotaSender(Consumer<List<QuotaAction.Send>> sender) {
+    quotas.setSender(sender);
+  }
+
   /** Sets what is told of the attempts that are lost. The listener runs on the traffic thread. */
   void setCrashListener(CrashGuard.Listener listener) {
     crashGuard.setListener(listener);
@@ -185,6 +196,7 @@
         () -> {
           config = Optional.of(newer);
           dispatcher.setConfig(newer);
+          quotas.setTenants(newer.tenants());
         });
   }
 
@@ -203,6 +215,7 @@
         () -> {
           dispatcher.setMembers(view);
           relayNetwork.setMembers(view);
+          quotas.setMembers(view);
         });
   }
 
@@ -216,6 +229,11 @@
     eventloop.execute(() -> dispatcher.applyLimits(limits));
   }
 
+  @Override
+  public void onQuotaMessage(VmId from, QuotaMessage message) {
+    eventloop.execute(() -> quotas.applyMessage(from, message));
+  }
+
   @Override
   public void onRequestBlocks(List<RequestBlock> blocks) {
     eventloop.execute(() -> crashGuard.block(blocks));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -245,7 +245,7 @@
 
   private static HttpResponse notRun(String reason, long retryAfterMillis) {
     String seconds = String.format(Locale.ROOT, "%.3f", retryAfterMillis / 1_000.0);
-    return HttpResponse.ofCode(STATUS_UNAVAILABLE)
+    return HttpResponse.ofCode(NotRunReasons.statusOf(reason))
         .withHeader(RETRY_AFTER, seconds)
         .withHeader(ERROR_REASON, reason)
         .withBody(reason.getBytes(StandardCharsets.US_ASCII))
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
@@ -11,6 +11,7 @@
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.placement.RegionShiftLimit;
+import org.mustardstage.core.quota.QuotaSettings;
 
 /**
  * The settings of an entry VM that serves a deployment described by routes.
@@ -33,6 +34,7 @@
  * @param regionShiftLimit the limit on how fast requests may shift from one region to another
  * @param milliCores the processing capacity of the VM, in thousandths of a core
  * @param logLevel the minimum level of log lines
+ * @param quotas how exactly the quotas of tenants hold
  */
 public record GatewaySettings(
     VmId vm,
@@ -52,7 +54,8 @@
     int repeatReserve,
     RegionShiftLimit regionShiftLimit,
     int milliCores,
-    String logLevel) {
+    String logLevel,
+    QuotaSettings quotas) {
   /** Copies the collections and checks the ranges of the numbers. */
   public GatewaySettings {
     regions = ImmutableMap.copyOf(regions);
@@ -72,4 +75,46 @@
     Preconditions.checkArgument(
         milliCores > 0, "milliCores (1000 * cores * cpuShare) must be positive: %s", milliCores);
   }
+
+  /** Creates settings with {@link QuotaSettings#defaults}. */
+  public GatewaySettings(
+      VmId vm,
+      ZoneId zone,
+      RegionId region,
+      Map<ZoneId, RegionId> regions,
+      HostAndPort callerAddress,
+      HostAndPort readinessAddress,
+      Optional<HostAndPort> lookupAddress,
+      HostAndPort peerAddress,
+      HostAndPort metricsAddress,
+      HostAndPort platformAddress,
+      List<HostAndPort> seedPeers,
+      long answerLifetimeMillis,
+      long stopWithinMillis,
+      double repeatShare,
+      int repeatReserve,
+      RegionShiftLimit regionShiftLimit,
+      int milliCores,
+      String logLevel) {
+    this(
+        vm,
+        zone,
+        region,
+        regions,
+        callerAddress,
+        readinessAddress,
+        lookupAddress,
+        peerAddress,
+        metricsAddress,
+        platformAddress,
+        seedPeers,
+        answerLifetimeMillis,
+        stopWithinMillis,
+        repeatShare,
+        repeatReserve,
+        regionShiftLimit,
+        milliCores,
+        logLevel,
+        QuotaSettings.defaults());
+  }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettingsReader.java
@@ -19,6 +19,7 @@
 import org.mustardstage.core.manifest.DocumentProblem;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.placement.RegionShiftLimit;
+import org.mustardstage.core.quota.QuotaSettings;
 
 /**
  * Reads {@link GatewaySettings} from YAML. JSON, which is also YAML, is read by the JSON parser, as
@@ -30,6 +31,7 @@
   private static final long DEFAULT_MOVED_WITHIN_MILLIS = 2_000;
   private static final double MILLI_CORES_PER_CORE = 1_000;
   private static final double MILLIS_PER_SECOND = 1_000;
+  private static final double NANOS_PER_SECOND = 1e9;
 
   private final JsonNode root;
   private final List<DocumentProblem> problems = new ArrayList<>();
@@ -83,7 +85,8 @@
                   (MILLI_CORES_PER_CORE
                       * root.path("cores").asDouble(1)
                       * root.path("cpuShare").asDouble(1)),
-              root.path("logLevel").asText("info"));
+              root.path("logLevel").asText("info"),
+              quotas());
     } catch (IllegalArgumentException | NullPointerException e) {
       if (problems.isEmpty()) {
         problems.add(
@@ -97,6 +100,16 @@
         : Either.left(ImmutableList.copyOf(problems));
   }
 
+  private QuotaSettings quotas() {
+    QuotaSettings defaults = QuotaSettings.defaults();
+    double windowSeconds =
+        root.path("quotaWindowSeconds").asDouble(defaults.windowNanos() / NANOS_PER_SECOND);
+    return new QuotaSettings(
+        (long) (windowSeconds * NANOS_PER_SECOND),
+        root.path("quotaExcessShare").asDouble(defaults.excessShare()),
+        root.path("quotaReserve").asDouble(defaults.reserve()));
+  }
+
   private <T> T text(String name, Function<String, T> parse) {
     JsonNode node = root.path(name);
     if (!node.isTextual() || node.asText().isEmpty()) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/NotRunReasons.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/NotRunReasons.java
@@ -36,5 +36,19 @@
   /** The deadline passed before the request was sent. */
   static final String DEADLINE = "DEADLINE";
 
+  /** The quota of the tenant is used up. */
+  static final String QUOTA_EXHAUSTED = "QUOTA_EXHAUSTED";
+
+  /** No VM says what is left of the quota of the tenant. */
+  static final String QUOTA_UNKNOWN = "QUOTA_UNKNOWN";
+
+  private static final int STATUS_TOO_MANY_REQUESTS = 429;
+  private static final int STATUS_UNAVAILABLE = 503;
+
   private NotRunReasons() {}
+
+  /** Returns the status of the response to a request that was not run. */
+  static int statusOf(String reason) {
+    return reason.equals(QUOTA_EXHAUSTED) ? STATUS_TOO_MANY_REQUESTS : STATUS_UNAVAILABLE;
+  }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
@@ -9,6 +9,7 @@
 import org.mustardstage.core.placement.AttemptResult;
 import org.mustardstage.core.placement.AttemptResult.Status;
 import org.mustardstage.core.placement.PlacementDecision;
+import org.mustardstage.core.quota.QuotaPermit;
 
 /** One send of a request to one endpoint. */
 final class RequestAttempt {
@@ -16,6 +17,7 @@
   private final ServiceName service;
   private final PlacementDecision.Placed placed;
   private final EndpointConnection connection;
+  private final Optional<QuotaPermit> permit;
   private final List<String> trace;
   private final long startedNanos = System.nanoTime();
   private final List<ScheduledRunnable> timers = new ArrayList<>();
@@ -26,11 +28,13 @@
       ServiceName service,
       PlacementDecision.Placed placed,
       EndpointConnection connection,
+      Optional<QuotaPermit> permit,
       List<String> trace) {
     this.placer = placer;
     this.service = service;
     this.placed = placed;
     this.connection = connection;
+    this.permit = permit;
     this.trace = trace;
   }
 
@@ -42,6 +46,11 @@
     return connection;
   }
 
+  /** Returns the permit by which it runs; empty if it needs none. */
+  Optional<QuotaPermit> permit() {
+    return permit;
+  }
+
   long startedNanos() {
     return startedNanos;
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -23,6 +23,7 @@
 import org.mustardstage.core.placement.RejectionReason;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
+import org.mustardstage.core.tenant.Tenant;
 
 /**
  * Executes one request of a caller: requests a placement, sends the request to the chosen endpoint,
@@ -78,6 +79,7 @@
   private Optional<ScheduledRunnable> timeout = Optional.empty();
 
   private final AttemptBudget attemptBudget;
+  private final AttemptPermit permit;
   private int failedConnects;
   private boolean relaying;
   private boolean mayHaveRun;
@@ -100,6 +102,7 @@
                 new RequestRelay(
                     services.relayNetwork(), request, configVersion, trace, this::onRelayResult));
     this.attemptBudget = new AttemptBudget(request);
+    this.permit = new AttemptPermit(services.quotas(), request.tenant().map(Tenant::name));
   }
 
   /** Starts the execution. The returned promise never fails. */
@@ -148,7 +151,19 @@
     placeLocally();
   }
 
+  /** Requests an endpoint, if the quota of the tenant allows another attempt now. */
   private void placeLocally() {
+    permit.acquire(this::placeWithPermit, this::onNoPermit, () -> {});
+  }
+
+  private void onNoPermit(RequestOutcome.NotRun refusal) {
+    trace.add(refusal.reason());
+    if (!isInFlight()) {
+      finish(failureOutcome(refusal.reason(), refusal.retryAfterMillis()));
+    }
+  }
+
+  private void placeWithPermit() {
     long objectiveDeadlineNanos =
         request.arrivalNanos()
             + TimeUnit.MILLISECONDS.toNanos(request.rule().latencyObjectiveMillis());
@@ -173,6 +188,7 @@
                 });
     if (!decidedSynchronously[0]) {
       pendingPlacement = Optional.of(pending);
+      permit.putBack();
     }
   }
 
@@ -244,7 +260,8 @@
     if (outcome.isComplete() || relaying) {
       return;
     }
-    boolean waiting = pendingPlacement.isPresent();
+    boolean waiting = pendingPlacement.isPresent() || permit.isWaiting();
+    permit.cancel();
     pendingPlacement.ifPresent(Placer.PendingPlacement::cancel);
     pendingPlacement = Optional.empty();
     for (RequestAttempt attempt : ImmutableList.copyOf(attemptsInFlight)) {
@@ -252,6 +269,7 @@
         waiting = true;
         attemptsInFlight.remove(attempt);
         attempt.cancel();
+        permit.putBack(attempt.permit());
         attemptBudget.recordNotSent();
       }
     }
@@ -297,12 +315,20 @@
     switch (decision) {
       case PlacementDecision.Placed placed -> {
         if (outcome.isComplete() || rejectBlocked()) {
-          services.placer().release(request.service(), placed, AttemptResult.abandoned());
+          release(placed);
+          permit.putBack();
           return;
         }
-        send(placed);
+        permit.acquire(
+            () -> send(placed),
+            refusal -> {
+              release(placed);
+              onNoPermit(refusal);
+            },
+            () -> release(placed));
       }
       case PlacementDecision.Rejected rejected -> {
+        permit.putBack();
         trace.add(rejected.reason().toString());
         if (!isInFlight()) {
           finish(failureOutcome(rejected.reason().toString(), rejected.retryAfterMillis()));
@@ -311,6 +337,11 @@
     }
   }
 
+  /** Releases the slot of a placement for which no attempt is sent. */
+  private void release(PlacementDecision.Placed placed) {
+    services.placer().release(request.service(), placed, AttemptResult.abandoned());
+  }
+
   private void send(PlacementDecision.Placed placed) {
     RegisteredEndpoint endpoint = placed.endpoint();
     long remainingMillis = remainingMillis() - RESPONSE_TRANSFER_MARGIN_MILLIS;
@@ -321,14 +352,20 @@
     Optional<EndpointConnectionPool.Sent> sent =
         connections.send(endpoint.address(), request, bytes);
     if (sent.isEmpty()) {
-      services.placer().release(request.service(), placed, AttemptResult.abandoned());
+      release(placed);
+      permit.putBack();
       failUnlessInFlight(NotRunReasons.NO_LINK);
       return;
     }
     attemptBudget.recordSent();
     RequestAttempt current =
         new RequestAttempt(
-            services.placer(), request.service(), placed, sent.get().connection(), trace);
+            services.placer(),
+            request.service(),
+            placed,
+            sent.get().connection(),
+            permit.take(),
+            trace);
     attemptsInFlight.add(current);
     scheduleHedge(current);
     scheduleOverdueCheck(current);
@@ -417,6 +454,7 @@
     boolean isAlive = connections.isAlive(endpoint.address(), RECENT_RESPONSE_NANOS);
     current.finish(isAlive ? Status.ABANDONED : Status.UNREACHABLE);
     attemptBudget.recordNotSent();
+    permit.putBack(current.permit());
     failedConnects++;
     if (isInFlight()) {
       return;
@@ -443,6 +481,7 @@
     ResponseIntegrity integrity = new ResponseIntegrity(headerNames, request.id());
     if (integrity.provesNotRun(response)) {
       returnToPool(current);
+      permit.putBack(current.permit());
       if (response.isMisdirected()) {
         // Another endpoint responded, whose load and notices say nothing about the expected one.
         current.finish(Status.MISDIRECTED);
@@ -541,6 +580,7 @@
   }
 
   private void cancelAttempts() {
+    permit.cancel();
     pendingPlacement.ifPresent(Placer.PendingPlacement::cancel);
     pendingPlacement = Optional.empty();
     if (relaying) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
@@ -31,7 +31,6 @@
   private static final int SILENCE_OBJECTIVE_FACTOR = 3;
 
   private static final int MAX_VMS = 3;
-  private static final int STATUS_UNAVAILABLE = 503;
 
   /** Why a VM does not serve a request that another VM may serve. */
   private static final ImmutableSet<String> TRY_ANOTHER_VM =
@@ -233,7 +232,7 @@
       onResult.accept(new Result.Responded(response));
       return;
     }
-    if (response.status() != STATUS_UNAVAILABLE) {
+    if (response.status() != NotRunReasons.statusOf(reason.get())) {
       onResult.accept(
           RequestOutcome.Unknown.Cause.find(response.status(), reason.get())
               .<Result>map(Result.Unknown::new)
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -83,7 +83,11 @@
   /** The control thread caught an unexpected exception. */
   CONTROL_FAULT(90, Level.ERROR),
   /** The traffic thread caught an unexpected exception. */
-  TRAFFIC_FAULT(91, Level.ERROR);
+  TRAFFIC_FAULT(91, Level.ERROR),
+  /** This VM began or ceased to hand out quotas of tenants. */
+  QUOTA_OWNERSHIP_CHANGED(110, Level.INFO),
+  /** Requests of a tenant were refused because of its quota. */
+  QUOTA_REFUSED(111, Level.WARN);
 
   private final int number;
   private final Level level;
--- a/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/MessageKind.java
@@ -24,6 +24,11 @@
 import org.mustardstage.schema.generated.WireOwnershipAdvertised;
 import org.mustardstage.schema.generated.WireOwnershipConfirmed;
 import org.mustardstage.schema.generated.WirePermitsWanted;
+import org.mustardstage.schema.generated.WireQuotaAsk;
+import org.mustardstage.schema.generated.WireQuotaGrant;
+import org.mustardstage.schema.generated.WireQuotaMark;
+import org.mustardstage.schema.generated.WireQuotaReturn;
+import org.mustardstage.schema.generated.WireQuotaShares;
 import org.mustardstage.schema.generated.WireRequestBlocks;
 import org.mustardstage.schema.generated.WireRequestSurvived;
 import org.mustardstage.schema.generated.WireRowsKnown;
@@ -63,7 +68,12 @@
   ENDPOINT_LIMITS(25, WireEndpointLimits.class),
   ATTEMPT_LOST(26, WireAttemptLost.class),
   REQUEST_SURVIVED(27, WireRequestSurvived.class),
-  REQUEST_BLOCKS(28, WireRequestBlocks.class);
+  REQUEST_BLOCKS(28, WireRequestBlocks.class),
+  QUOTA_SHARES(29, WireQuotaShares.class),
+  QUOTA_MARK(30, WireQuotaMark.class),
+  QUOTA_ASK(31, WireQuotaAsk.class),
+  QUOTA_GRANT(32, WireQuotaGrant.class),
+  QUOTA_RETURN(33, WireQuotaReturn.class);
 
   private final int number;
   private final Class<?> payloadClass;
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerCodec.java
@@ -45,6 +45,11 @@
 import org.mustardstage.schema.generated.WireOwnershipAdvertised;
 import org.mustardstage.schema.generated.WireOwnershipConfirmed;
 import org.mustardstage.schema.generated.WirePermitsWanted;
+import org.mustardstage.schema.generated.WireQuotaAsk;
+import org.mustardstage.schema.generated.WireQuotaGrant;
+import org.mustardstage.schema.generated.WireQuotaMark;
+import org.mustardstage.schema.generated.WireQuotaReturn;
+import org.mustardstage.schema.generated.WireQuotaShares;
 import org.mustardstage.schema.generated.WireRequestBlock;
 import org.mustardstage.schema.generated.WireRequestBlocks;
 import org.mustardstage.schema.generated.WireRequestSurvived;
@@ -122,6 +127,7 @@
               .withBuild(hello.build().orElse(null));
       case PeerMessage.Membership membership -> MemberMessageMapper.toWire(membership.message());
       case PeerMessage.Permits permit -> PermitMessageMapper.toWire(permit.message());
+      case PeerMessage.Quota quota -> QuotaMessageMapper.toWire(quota.message());
       case PeerMessage.ConfigAnnounce announce ->
           new WireConfigAnnounce()
               .withVersion(announce.version().number())
@@ -334,6 +340,11 @@
       case WireHandover w -> new PeerMessage.Permits(PermitMessageMapper.fromWire(w));
       case WireHandoverReceived w -> new PeerMessage.Permits(PermitMessageMapper.fromWire(w));
       case WireStopAnnounced w -> new PeerMessage.Permits(PermitMessageMapper.fromWire(w));
+      case WireQuotaShares w -> new PeerMessage.Quota(QuotaMessageMapper.fromWire(w));
+      case WireQuotaMark w -> new PeerMessage.Quota(QuotaMessageMapper.fromWire(w));
+      case WireQuotaAsk w -> new PeerMessage.Quota(QuotaMessageMapper.fromWire(w));
+      case WireQuotaGrant w -> new PeerMessage.Quota(QuotaMessageMapper.fromWire(w));
+      case WireQuotaReturn w -> new PeerMessage.Quota(QuotaMessageMapper.fromWire(w));
       default -> throw new IllegalArgumentException("no message has payload " + payload.getClass());
     };
   }
--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerMessage.java
@@ -12,6 +12,7 @@
 import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
+import org.mustardstage.core.quota.QuotaMessage;
 
 /** A message between entry VMs. */
 public sealed interface PeerMessage {
@@ -29,6 +30,9 @@
   /** Carries a message of the permit protocol. */
   record Permits(PermitMessage message) implements PeerMessage {}
 
+  /** Carries a message about the quotas of tenants. */
+  record Quota(QuotaMessage message) implements PeerMessage {}
+
   /** Announces which manifest is active at the sender, by the hash of its root object. */
   record ConfigAnnounce(ConfigVersion version, String rootHash) implements PeerMessage {}
 
--- /dev/null
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/AttemptPermitTest.java
@@ -0,0 +1,151 @@
+package org.mustardstage.entry.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mustardstage.core.id.ConfigVersion;
+import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.TenantName;
+import org.mustardstage.core.id.VmId;
+import org.mustardstage.core.id.VmIncarnation;
+import org.mustardstage.core.id.ZoneId;
+import org.mustardstage.core.manifest.HostAndPort;
+import org.mustardstage.core.member.Member;
+import org.mustardstage.core.member.MemberStatus;
+import org.mustardstage.core.member.MemberView;
+import org.mustardstage.core.member.MembershipSettings;
+import org.mustardstage.core.placement.RegionShiftLimit;
+import org.mustardstage.core.tenant.Tenant;
+import org.mustardstage.core.tenant.TenantDirectory;
+import org.mustardstage.core.tenant.TenantQuota;
+
+/** Checks the permits of attempts on a VM that has been alone for long enough to own all quotas. */
+class AttemptPermitTest {
+  private static final TenantName LIMITED = new TenantName("limited");
+  private static final TenantName UNLIMITED = new TenantName("unlimited");
+  private static final ZoneId ZONE = new ZoneId("north-a");
+  private static final RegionId REGION = new RegionId("north");
+  private static final HostAndPort ADDRESS = new HostAndPort("127.0.0.1", 1);
+
+  /** Less than the quota lets run at once: its burst and the stored part of the reserve. */
+  private static final int CERTAIN = 5;
+
+  /** More than the quota lets run within this test. */
+  private static final int TOO_MANY = 80;
+
+  private final Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
+  private long aheadNanos;
+  private QuotaGate gate;
+  private int granted;
+  private Optional<RequestOutcome.NotRun> refusal = Optional.empty();
+
+  @BeforeEach
+  void becomeOwner() throws IOException {
+    gate = new QuotaGate(settings(), eventloop, () -> System.nanoTime() + aheadNanos);
+    Member self =
+        new Member(
+            new VmIncarnation(new VmId("vm-1"), 1),
+            ZONE,
+            REGION,
+            ADDRESS,
+            ADDRESS,
+            ADDRESS,
+            /* leaving= */ false);
+    MemberStatus status =
+        new MemberStatus(self, MemberStatus.Liveness.ALIVE, false, new ConfigVersion(1));
+    gate.setMembers(new MemberView(self, List.of(status), ImmutableSet.of()));
+    gate.setTenants(
+        new TenantDirectory(
+            ImmutableMap.of(
+                LIMITED, tenant(LIMITED, Optional.of(new TenantQuota(20, 5))),
+                UNLIMITED, tenant(UNLIMITED, Optional.empty())),
+            Map.of()));
+    aheadNanos = MembershipSettings.DISCOVERY_NANOS;
+    // Loans are prolonged meanwhile, and the quota gains its burst.
+    runFor(Duration.ofSeconds(3));
+  }
+
+  private void runFor(Duration time) {
+    eventloop.delay(time.toMillis(), () -> {});
+    eventloop.run();
+  }
+
+  private static Tenant tenant(TenantName name, Optional<TenantQuota> quota) {
+    return new Tenant(name, OptionalInt.empty(), ImmutableSet.of(), quota);
+  }
+
+  private static GatewaySettings settings() {
+    return new GatewaySettings(
+        new VmId("vm-1"),
+        ZONE,
+        REGION,
+        ImmutableMap.of(ZONE, REGION),
+        ADDRESS,
+        ADDRESS,
+        Optional.empty(),
+        ADDRESS,
+        ADDRESS,
+        ADDRESS,
+        ImmutableList.of(),
+        1_000,
+        1_000,
+        0.2,
+        100,
+        new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
+        420,
+        "info");
+  }
+
+  private AttemptPermit acquire(Optional<TenantName> tenant) {
+    AttemptPermit permit = new AttemptPermit(gate, tenant);
+    permit.acquire(() -> granted++, refused -> refusal = Optional.of(refused), () -> {});
+    return permit;
+  }
+
+  @Test
+  void attemptsBeyondTheQuotaAreRefusedAtOnce() {
+    for (int i = 0; i < TOO_MANY; i++) {
+      acquire(Optional.of(LIMITED)).take();
+    }
+
+    assertThat(granted, is(greaterThan(CERTAIN)));
+    assertThat(granted, is(lessThanOrEqualTo(TOO_MANY / 2)));
+    assertThat(refusal.orElseThrow().reason(), is(NotRunReasons.QUOTA_EXHAUSTED));
+    assertThat(refusal.orElseThrow().retryAfterMillis(), is(greaterThan(0L)));
+    assertThat(NotRunReasons.statusOf(NotRunReasons.QUOTA_EXHAUSTED), is(429));
+  }
+
+  @Test
+  void attemptsThatDidNotRunDoNotUseTheQuota() {
+    for (int i = 0; i < TOO_MANY; i++) {
+      AttemptPermit permit = acquire(Optional.of(LIMITED));
+      permit.putBack(permit.take());
+    }
+
+    assertThat(granted, is(TOO_MANY));
+  }
+
+  @Test
+  void requestsWithoutQuotaNeedNoPermits() {
+    for (int i = 0; i < TOO_MANY; i++) {
+      acquire(Optional.of(UNLIMITED));
+      acquire(Optional.empty());
+    }
+
+    assertThat(granted, is(2 * TOO_MANY));
+  }
+}
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -42,6 +42,7 @@
 import org.mustardstage.core.placement.RegionShiftLimit;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.core.quota.QuotaMessage;
 import org.mustardstage.entry.platform.PlatformFailure;
 import org.mustardstage.entry.platform.VmList;
 
@@ -166,6 +167,9 @@
       return ImmutableSet.of();
     }
 
+    @Override
+    public void onQuotaMessage(VmId from, QuotaMessage message) {}
+
     @Override
     public void onRequestBlocks(List<RequestBlock> blocks) {}
 
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewaySettingsReaderTest.java
@@ -15,6 +15,7 @@
 import org.mustardstage.core.manifest.DocumentProblem;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.placement.RegionShiftLimit;
+import org.mustardstage.core.quota.QuotaSettings;
 
 class GatewaySettingsReaderTest {
   private static final String SETTINGS =
@@ -65,6 +66,18 @@
     assertThat(GatewaySettingsReader.read(SETTINGS + "movedShare: 2\n").isLeft(), is(true));
   }
 
+  @Test
+  void quotaBoundsAreReadAndChecked() {
+    GatewaySettings settings =
+        GatewaySettingsReader.read(
+                SETTINGS + "quotaWindowSeconds: 2.5\nquotaExcessShare: 0.2\nquotaReserve: 7\n")
+            .get();
+
+    assertThat(settings.quotas(), is(new QuotaSettings(2_500_000_000L, 0.2, 7)));
+    assertThat(GatewaySettingsReader.read(SETTINGS).get().quotas(), is(QuotaSettings.defaults()));
+    assertThat(GatewaySettingsReader.read(SETTINGS + "quotaReserve: -1\n").isLeft(), is(true));
+  }
+
   @Test
   void allProblemsAreReported() {
     Either<List<DocumentProblem>, GatewaySettings> read =
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerCodecTest.java
@@ -16,6 +16,7 @@
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.id.TenantName;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.VmIncarnation;
 import org.mustardstage.core.id.ZoneId;
@@ -31,6 +32,7 @@
 import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
+import org.mustardstage.core.quota.QuotaMessage;
 
 /**
  * Checks that every message survives encoding and decoding, and that truncated, corrupted and
@@ -40,6 +42,7 @@
   private static final RequestFingerprint FINGERPRINT =
       RequestFingerprint.of("/a", "10.0.0.1", new byte[0]);
 
+  private static final TenantName TENANT = new TenantName("city-depot");
   private static final long CORRELATION_ID = Long.MAX_VALUE;
   private static final ZoneId ZONE = new ZoneId("regina-a");
   private static final LimitId LIMIT = new LimitId("slots/order-desk-01");
@@ -92,6 +95,11 @@
             new LostAttempt(
                 FINGERPRINT, new EndpointIncarnation(new EndpointId("i-1"), 1_700_000_000_000L))),
         new PeerMessage.RequestSurvived(FINGERPRINT),
+        new PeerMessage.Quota(new QuotaMessage.Shares(-1, 16, Long.MAX_VALUE, 98, true)),
+        new PeerMessage.Quota(new QuotaMessage.Mark(7, 3)),
+        new PeerMessage.Quota(new QuotaMessage.Ask(TENANT, 12, 300)),
+        new PeerMessage.Quota(new QuotaMessage.Grant(TENANT, 12, 5, 299, 300, 4_000)),
+        new PeerMessage.Quota(new QuotaMessage.Return(TENANT, 5, 20)),
         new PeerMessage.RequestBlocks(List.of(new RequestBlock(FINGERPRINT, 2, 600_000))),
         new PeerMessage.RowsRequest("ENDPOINTS", 2, 12),
         new PeerMessage.RowsUpdate(
