--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -23,6 +23,7 @@
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.overload.BufferBudget;
@@ -31,6 +32,8 @@
 import org.mustardstage.core.placement.RelaySelector;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.core.quota.QuotaAction;
+import org.mustardstage.core.quota.QuotaMessage;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
 import org.mustardstage.entry.traffic.CallerConnections;
@@ -65,6 +68,7 @@
   private final RelayNetwork relayNetwork;
   private final GatewayServlet servlet;
   private final CrashGuard crashGuard = new CrashGuard();
+  private final QuotaGate quotas;
   private final HttpServer callerServer;
   private final List<HttpServer> otherServers = new ArrayList<>();
   private Optional<GatewayConfig> config = Optional.empty();
@@ -88,6 +92,7 @@
             .withFatalErrorHandler((e, context) -> EventLog.log(Event.TRAFFIC_FAULT, e))
             .build();
     this.dispatcher = new Dispatcher(settings, eventloop, System::nanoTime);
+    this.quotas = new QuotaGate(settings, eventloop, System::nanoTime);
     HeaderNames headerNames = adapter.headerNames();
     BufferBudget<EndpointConnection> responseBuffers =
         new BufferBudget<>((long) (RESPONSE_BUFFERS_HEAP_SHARE * heapBytes));
@@ -114,6 +119,7 @@
                 linkMonitor,
                 relayNetwork,
                 crashGuard,
+                quotas,
                 headerNames),
             () -> rejectsNewRequests,
             () -> keyCheck.getAsBoolean(),
@@ -150,6 +156,11 @@
     dispatcher.setLimitListener(listener);
   }
 
+  /** Sets what sends messages about quotas. The sender is called on the traffic thread. */
+  void setQuotaSender(Consumer<List<QuotaAction.Send>> sender) {
+    quotas.setSender(sender);
+  }
+
   /** Sets what is told of the attempts that are lost. The listener runs on the traffic thread. */
   void setCrashListener(CrashGuard.Listener listener) {
     crashGuard.setListener(listener);
@@ -193,6 +204,7 @@
         () -> {
           config = Optional.of(newer);
           dispatcher.setConfig(newer);
+          quotas.setTenants(newer.tenants());
         });
   }
 
@@ -211,6 +223,7 @@
         () -> {
           dispatcher.setMembers(view);
           relayNetwork.setMembers(view);
+          quotas.setMembers(view);
         });
   }
 
@@ -224,6 +237,11 @@
     eventloop.execute(() -> dispatcher.applyLimits(limits));
   }
 
+  @Override
+  public void onQuotaMessage(VmId from, QuotaMessage message) {
+    eventloop.execute(() -> quotas.applyMessage(from, message));
+  }
+
   @Override
   public void onRequestBlocks(List<RequestBlock> blocks) {
     eventloop.execute(() -> crashGuard.block(blocks));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
@@ -12,6 +12,7 @@
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.placement.RegionShiftLimit;
+import org.mustardstage.core.quota.QuotaSettings;
 
 /**
  * The settings of an entry VM that serves a deployment described by routes.
@@ -36,6 +37,7 @@
  *     for as long as it takes
  * @param milliCores the processing capacity of the VM, in thousandths of a core
  * @param logLevel the minimum level of log lines
+ * @param quotas how exactly the quotas of tenants hold
  */
 public record GatewaySettings(
     VmId vm,
@@ -56,7 +58,8 @@
     RegionShiftLimit regionShiftLimit,
     OptionalLong keyLifetimeMillis,
     int milliCores,
-    String logLevel) {
+    String logLevel,
+    QuotaSettings quotas) {
   /** Copies the collections and checks the ranges of the numbers. */
   public GatewaySettings {
     regions = ImmutableMap.copyOf(regions);
@@ -80,4 +83,48 @@
     Preconditions.checkArgument(
         milliCores > 0, "milliCores (1000 * cores * cpuShare) must be positive: %s", milliCores);
   }
+
+  /** Creates settings with {@link QuotaSettings#defaults}. */
+  public GatewaySettings(
+      VmId vm,
+      ZoneId zone,
+      RegionId region,
+      Map<ZoneId, RegionId> regions,
+      HostAndPort callerAddress,
+      HostAndPort readinessAddress,
+      Optional<HostAndPort> lookupAddress,
+      HostAndPort peerAddress,
+      HostAndPort metricsAddress,
+      HostAndPort platformAddress,
+      List<HostAndPort> seedPeers,
+      long answerLifetimeMillis,
+      long stopWithinMillis,
+      double repeatShare,
+      int repeatReserve,
+      RegionShiftLimit regionShiftLimit,
+      OptionalLong keyLifetimeMillis,
+      int milliCores,
+      String logLevel) {
+    this(
+        vm,
+        zone,
+        region,
+        regions,
+        callerAddress,
+        readinessAddress,
+        lookupAddress,
+        peerAddress,
+        metricsAddress,
+        platformAddress,
+        seedPeers,
+        answerLifetimeMillis,
+        stopWithinMillis,
+        repeatShare,
+        repeatReserve,
+        regionShiftLimit,
+        keyLifetimeMillis,
+        milliCores,
+        logLevel,
+        QuotaSettings.defaults());
+  }
 }
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -85,7 +85,11 @@
   /** The traffic thread caught an unexpected exception. */
   TRAFFIC_FAULT(91, Level.ERROR),
   /** A request was rejected by its API key. */
-  KEY_REJECTED(100, Level.INFO);
+  KEY_REJECTED(100, Level.INFO),
+  /** This VM began or ceased to hand out quotas of tenants. */
+  QUOTA_OWNERSHIP_CHANGED(110, Level.INFO),
+  /** Requests of a tenant were refused because of its quota. */
+  QUOTA_REFUSED(111, Level.WARN);
 
   private final int number;
   private final Level level;
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -43,6 +43,7 @@
 import org.mustardstage.core.placement.RegionShiftLimit;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.core.quota.QuotaMessage;
 import org.mustardstage.entry.platform.PlatformFailure;
 import org.mustardstage.entry.platform.VmList;
 
@@ -168,6 +169,9 @@
       return ImmutableSet.of();
     }
 
+    @Override
+    public void onQuotaMessage(VmId from, QuotaMessage message) {}
+
     @Override
     public void onRequestBlocks(List<RequestBlock> blocks) {}
 
