--- a/core/src/main/java/org/mustardstage/core/overload/DepartureRateEstimator.java
+++ b/core/src/main/java/org/mustardstage/core/overload/DepartureRateEstimator.java
@@ -5,7 +5,7 @@
  * not empty. Departures and that time lose weight exponentially with age. The estimate is infinite
  * while the queue has hardly been non-empty lately, so that the first requests are accepted.
  */
-final class DepartureRateEstimator {
+public final class DepartureRateEstimator {
   private static final double DECAY_TIME_NANOS = 500e6;
   private static final double MIN_BUSY_NANOS = 1e6;
   private static final double NANOS_PER_SECOND = 1e9;
@@ -20,7 +20,7 @@
    *
    * @param busy whether requests have waited since the last call
    */
-  void advance(long nowNanos, boolean busy) {
+  public void advance(long nowNanos, boolean busy) {
     if (!initialized) {
       initialized = true;
       updatedNanos = nowNanos;
@@ -37,12 +37,12 @@
   }
 
   /** Counts a request that left the queue to run. */
-  void recordDeparture() {
+  public void recordDeparture() {
     departures++;
   }
 
   /** Returns the rate; one departure is added to those counted, so that it is never zero. */
-  double perSecond() {
+  public double perSecond() {
     if (busyNanos < MIN_BUSY_NANOS) {
       return Double.POSITIVE_INFINITY;
     }
