Stream large responses through a bounded buffer

Cause: a VM held every response whole before its first byte went to the caller, and what callers read slowly counted towards nothing; 200 callers that read nothing could hold more than the heap. Change: a request of a rule with large responses is sent only if there is room for its response, and is refused at once with RESPONSES_FULL otherwise. Its body goes to the caller as it arrives (StreamedBody), is read from the endpoint as far as there is room, and counts until the caller's socket has taken it. It begins only with a success that bears the seal and the request's id; from then on nothing is repeated, and what breaks off closes the caller's connection. A caller that leaves closes the endpoint's connection; the deadline ends what has not arrived. The send buffer of the caller's connection is limited, as loopback's took 540 KB whole. Other rules take the way they took before.

--- a/core/src/test/java/org/mustardstage/core/transfer/TransferBudgetTest.java
+++ b/core/src/test/java/org/mustardstage/core/transfer/TransferBudgetTest.java
@@ -124,6 +124,8 @@
   void estimateFollowsLargerResponsesAtOnceAndSmallerOnesSlowly() {
     ResponseSizeEstimator sizes = new ResponseSizeEstimator(1_000);
     assertThat(sizes.expectedBytes("r"), is(1_000L));
+    sizes.record("r", 500);
+    assertThat(sizes.expectedBytes("r"), is(500L));
     sizes.record("r", 5_000);
     sizes.record("r", 1_000);
     assertThat(sizes.expectedBytes("r"), is(4_800L));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
@@ -45,7 +45,7 @@
 
   /** A request in flight on this connection. */
   private static final class Exchange {
-    private final String requestId;
+    private final OutgoingRequest request;
     private final SettablePromise<Either<ConnectionFailure, EndpointResponse>> result =
         new SettablePromise<>();
     private final long idleNanos;
@@ -53,9 +53,12 @@
     private boolean written;
     private boolean responseStarted;
 
+    /** The body of the response, once its head was passed on. */
+    private Optional<StreamedBody> body = Optional.empty();
+
     /** {@code idleNanos} is how long the connection was idle before, 0 for a new connection. */
-    Exchange(String requestId, long idleNanos) {
-      this.requestId = requestId;
+    Exchange(OutgoingRequest request, long idleNanos) {
+      this.request = request;
       this.idleNanos = idleNanos;
     }
 
@@ -81,16 +84,16 @@
 
   /** Opens the connection and sends the first request over it. */
   Promise<Either<ConnectionFailure, EndpointResponse>> connectAndSend(
-      Duration connectTimeout, String requestId, boolean withoutBody, byte[] request) {
+      Duration connectTimeout, OutgoingRequest request) {
     long startedNanos = System.nanoTime();
-    Exchange first = new Exchange(requestId, /* idleNanos= */ 0);
+    Exchange first = new Exchange(request, /* idleNanos= */ 0);
     exchange = Optional.of(first);
     connect(connectTimeout)
         .whenResult(
             () -> {
               if (!closed) {
                 connectNanos = OptionalLong.of(System.nanoTime() - startedNanos);
-                write(first, withoutBody, request);
+                write(first);
               }
             });
     return first.result;
@@ -121,21 +124,20 @@
   }
 
   /** Sends a request over this connection, which must be idle. */
-  Promise<Either<ConnectionFailure, EndpointResponse>> send(
-      String requestId, boolean withoutBody, byte[] request) {
+  Promise<Either<ConnectionFailure, EndpointResponse>> send(OutgoingRequest request) {
     connectNanos = OptionalLong.empty();
     idleNanos = System.nanoTime() - lastResponseNanos;
-    Exchange next = new Exchange(requestId, idleNanos);
+    Exchange next = new Exchange(request, idleNanos);
     exchange = Optional.of(next);
-    write(next, withoutBody, request);
+    write(next);
     return next.result;
   }
 
-  private void write(Exchange current, boolean withoutBody, byte[] request) {
-    parser = new ResponseParser(withoutBody);
+  private void write(Exchange current) {
+    parser = new ResponseParser(current.request.withoutResponseBody());
     socket
         .orElseThrow()
-        .write(ByteBuf.wrapForReading(request))
+        .write(ByteBuf.wrapForReading(current.request.bytes()))
         .whenResult(() -> current.written = true)
         .whenException(e -> fail(ConnectionFailure.CONNECTION_LOST));
   }
@@ -175,7 +177,16 @@
     if (exchange.isPresent()) {
       responseBuffers.resize(this, parser.heldBytes()).ifPresent(EndpointConnection::dropResponse);
     }
-    if (!closed) {
+    readOn();
+  }
+
+  /** Reads on as soon as there is room for what arrives. */
+  private void readOn() {
+    if (closed) {
+      return;
+    }
+    Optional<StreamedBody> body = exchange.flatMap(current -> current.body);
+    if (body.isEmpty() || body.get().mayReceive(() -> reactor.post(this::readOn))) {
       read();
     }
   }
@@ -189,6 +200,7 @@
     while (exchange.isPresent()) {
       Optional<EndpointResponse> response = parser.next();
       if (response.isEmpty()) {
+        streamBody(exchange.get());
         return;
       }
       if (isForOtherRequest(response.get())) {
@@ -199,9 +211,33 @@
     }
   }
 
+  /**
+   * Passes on what has arrived of a large response. It begins only with a success that is the
+   * endpoint's own for this request; others are small, and are judged whole.
+   */
+  private void streamBody(Exchange current) {
+    if (current.body.isEmpty()) {
+      Optional<EndpointResponse> head = parser.incomplete();
+      if (current.request.transfer().isEmpty()
+          || head.isEmpty()
+          || !head.get().isSuccess()
+          || !new ResponseIntegrity(headerNames, current.request.id()).isIntact(head.get())) {
+        return;
+      }
+      StreamedBody body = new StreamedBody(current.request.transfer().get(), parser.statedLength());
+      current.body = Optional.of(body);
+      lastResponseNanos = System.nanoTime();
+      current.result.trySet(Either.right(head.get().withStream(body)));
+    }
+    if (!closed) {
+      byte[] arrived = parser.takeBody();
+      current.body.get().add(arrived, 0, arrived.length);
+    }
+  }
+
   private boolean isForOtherRequest(EndpointResponse response) {
     Optional<String> id = response.headers().find(headerNames.requestId());
-    return id.isPresent() && !id.get().equals(exchange.orElseThrow().requestId);
+    return id.isPresent() && !id.get().equals(exchange.orElseThrow().request.id());
   }
 
   private void finish(EndpointResponse response) {
@@ -216,6 +252,11 @@
     if (!reusable) {
       close();
     }
+    if (done.body.isPresent()) {
+      done.body.get().add(response.body(), 0, response.body().length);
+      done.body.get().completeReceived();
+      return;
+    }
     done.result.trySet(Either.right(response));
   }
 
@@ -258,6 +299,7 @@
     Optional<Exchange> failed = exchange;
     exchange = Optional.empty();
     close();
+    failed.flatMap(current -> current.body).ifPresent(StreamedBody::breakOff);
     failed.ifPresent(
         current ->
             current.result.trySet(
@@ -267,16 +309,21 @@
                         : failure)));
   }
 
-  /** Closes the connection; the promise of a request in flight is never completed. */
+  /**
+   * Closes the connection; the promise of a request in flight is never completed, and a body that
+   * is streamed breaks off.
+   */
   void close() {
     if (closed) {
       return;
     }
     closed = true;
+    Optional<StreamedBody> body = exchange.flatMap(current -> current.body);
     exchange = Optional.empty();
     responseBuffers.remove(this);
     socket.ifPresent(TcpSocket::close);
     onClosed.run();
+    body.ifPresent(StreamedBody::breakOff);
   }
 
   boolean isClosed() {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
@@ -20,6 +20,7 @@
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.overload.BufferBudget;
 import org.mustardstage.core.placement.IdleConnectionLimits;
+import org.mustardstage.core.transfer.TransferBudget;
 
 /** Pools the connections of one traffic thread to endpoints, or to other VMs. */
 final class EndpointConnectionPool {
@@ -82,12 +83,25 @@
    * @param bytes the encoded request
    */
   Optional<Sent> send(HostAndPort address, CallerRequest request, byte[] bytes) {
+    return send(address, request, Optional.empty(), bytes);
+  }
+
+  /**
+   * Sends a request as {@link #send(HostAndPort, CallerRequest, byte[])} does, and streams its
+   * response if there is room reserved for it.
+   */
+  Optional<Sent> send(
+      HostAndPort address,
+      CallerRequest request,
+      Optional<TransferBudget<String>.Transfer> transfer,
+      byte[] bytes) {
+    OutgoingRequest outgoing =
+        new OutgoingRequest(request.id(), request.hasNoResponseBody(), transfer, bytes);
     long nowNanos = System.nanoTime();
     Optional<EndpointConnection> idle = acquireIdle(address, nowNanos, request.rule().idempotent());
     if (idle.isPresent()) {
       EndpointConnection connection = idle.get();
-      return Optional.of(
-          new Sent(connection, connection.send(request.id(), request.hasNoResponseBody(), bytes)));
+      return Optional.of(new Sent(connection, connection.send(outgoing)));
     }
     AddressPool pool = pools.get(address);
     if (pool != null && pool.open.size() >= MAX_CONNECTIONS_PER_ADDRESS && !closeOldestIdle(pool)) {
@@ -97,11 +111,7 @@
     Duration connectTimeout =
         Duration.ofMillis(Math.clamp(remainingMillis, 1, CONNECT_TIMEOUT.toMillis()));
     EndpointConnection connection = create(address);
-    return Optional.of(
-        new Sent(
-            connection,
-            connection.connectAndSend(
-                connectTimeout, request.id(), request.hasNoResponseBody(), bytes)));
+    return Optional.of(new Sent(connection, connection.connectAndSend(connectTimeout, outgoing)));
   }
 
   /**
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointResponse.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointResponse.java
@@ -1,16 +1,19 @@
 package org.mustardstage.entry.gateway;
 
 import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
 
 /**
- * A complete response of an endpoint.
+ * A response of an endpoint: complete, or one whose body is still arriving.
  *
  * @param status the HTTP status
  * @param headers the headers, in their order
- * @param body the complete body; must not be modified
+ * @param body the complete body, empty if it is streamed; must not be modified
+ * @param stream the body, if it is streamed to the caller
  */
 @SuppressWarnings("ArrayRecordComponent")
-record EndpointResponse(int status, HeaderList headers, byte[] body) {
+record EndpointResponse(
+    int status, HeaderList headers, byte[] body, Optional<StreamedBody> stream) {
   private static final int STATUS_MISDIRECTED = 421;
   private static final int MIN_SUCCESS_STATUS = 200;
   private static final int MIN_REDIRECT_STATUS = 300;
@@ -18,6 +21,16 @@
   /** The statuses by which callers are told that a request has not run. */
   private static final ImmutableSet<Integer> NOT_RUN_STATUSES = ImmutableSet.of(408, 421, 429, 503);
 
+  /** Creates a complete response. */
+  EndpointResponse(int status, HeaderList headers, byte[] body) {
+    this(status, headers, body, Optional.empty());
+  }
+
+  /** Returns the response with its body in {@code newStream}. */
+  EndpointResponse withStream(StreamedBody newStream) {
+    return new EndpointResponse(status, headers, new byte[0], Optional.of(newStream));
+  }
+
   /** Returns whether a caller would take the status as a promise that the request has not run. */
   boolean promisesNotRun() {
     return NOT_RUN_STATUSES.contains(status);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
@@ -1,12 +1,14 @@
 package org.mustardstage.entry.gateway;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.function.LongSupplier;
 import org.mustardstage.core.gateway.RoutingRule;
 
 /** Counts requests by rule and outcome, and measures their duration. Safe on any thread. */
@@ -29,6 +31,35 @@
           .classicUpperBounds(0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8)
           .register(registry);
 
+  private final Counter largeRequestsRefused =
+      Counter.builder()
+          .name("mustardstage_large_requests_refused")
+          .help("Requests refused as there was no room for their large responses.")
+          .labelNames("rule")
+          .register(registry);
+
+  /**
+   * Exposes the memory of large responses. The values are read on the thread that scrapes, which is
+   * the traffic thread that writes them.
+   */
+  void measureLargeResponses(LongSupplier heldBytes, LongSupplier reservedBytes) {
+    gauge("mustardstage_large_response_held_bytes", "Large responses held.", heldBytes);
+    gauge("mustardstage_large_response_reserved_bytes", "Room for large responses.", reservedBytes);
+  }
+
+  private void gauge(String name, String help, LongSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call((double) value.getAsLong()))
+        .register(registry);
+  }
+
+  /** Records a request that was refused as there was no room for its response. */
+  void recordLargeRequestRefused(RoutingRule rule) {
+    largeRequestsRefused.labelValues(rule.name()).inc();
+  }
+
   /** Records the outcome and the duration of a request. */
   void recordOutcome(RoutingRule rule, RequestOutcome outcome, long durationNanos) {
     requests.labelValues(rule.name(), labelOf(outcome)).inc();
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -48,6 +48,9 @@
   /** The share of the heap that the buffers of all incomplete responses may hold. */
   private static final double RESPONSE_BUFFERS_HEAP_SHARE = 0.25;
 
+  /** The share of the heap that all large responses may hold until callers have taken them. */
+  private static final double LARGE_RESPONSES_HEAP_SHARE = 0.25;
+
   private static final long CONNECTION_SWEEP_INTERVAL_MILLIS = 500;
   private static final long IDLE_CHECK_INTERVAL_MILLIS = 20;
 
@@ -63,6 +66,7 @@
   private final RelayNetwork relayNetwork;
   private final GatewayServlet servlet;
   private final CrashGuard crashGuard = new CrashGuard();
+  private final LargeResponses largeResponses;
   private final HttpServer callerServer;
   private final List<HttpServer> otherServers = new ArrayList<>();
   private Optional<GatewayConfig> config = Optional.empty();
@@ -89,6 +93,9 @@
     HeaderNames headerNames = adapter.headerNames();
     BufferBudget<EndpointConnection> responseBuffers =
         new BufferBudget<>((long) (RESPONSE_BUFFERS_HEAP_SHARE * heapBytes));
+    this.largeResponses =
+        new LargeResponses(
+            (long) (LARGE_RESPONSES_HEAP_SHARE * heapBytes), responseBuffers::heldBytes, metrics);
     this.endpointConnections = new EndpointConnectionPool(eventloop, headerNames, responseBuffers);
     this.vmConnections = new EndpointConnectionPool(eventloop, headerNames, responseBuffers);
     this.relayNetwork =
@@ -112,6 +119,7 @@
                 linkMonitor,
                 relayNetwork,
                 crashGuard,
+                largeResponses,
                 headerNames),
             () -> rejectsNewRequests,
             new RequestBodyReader((long) (REQUEST_BODIES_HEAP_SHARE * heapBytes)),
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServices.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServices.java
@@ -11,6 +11,7 @@
  * @param linkMonitor knows whether this VM reaches any endpoint
  * @param relayNetwork relays requests to other VMs
  * @param crashGuard rejects requests that have ended several endpoints
+ * @param largeResponses the room for large responses
  * @param headerNames the headers that callers and endpoints use
  */
 record GatewayServices(
@@ -20,4 +21,5 @@
     EndpointLinkMonitor linkMonitor,
     RelayNetwork relayNetwork,
     CrashGuard crashGuard,
+    LargeResponses largeResponses,
     HeaderNames headerNames) {}
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -16,11 +16,13 @@
 import java.util.function.Supplier;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.transfer.TransferBudget;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
 import org.mustardstage.entry.traffic.CallerConnection;
 import org.mustardstage.entry.traffic.CallerConnections;
 import org.mustardstage.entry.traffic.Headers;
+import org.mustardstage.entry.traffic.ResponseBodyStream;
 
 /**
  * Responds to each request of a caller with the response of an endpoint, or with an error reason.
@@ -117,7 +119,7 @@
                       head.get().arrivalNanos(),
                       head.get().deadlineNanos(),
                       head.get().relay());
-              return execute(request, connection, activeConfig.get())
+              return begin(request, connection, activeConfig.get())
                   .whenComplete((response, e) -> body.release());
             })
         .whenComplete((response, e) -> inFlight--);
@@ -137,16 +139,41 @@
     };
   }
 
-  private Promise<HttpResponse> execute(
+  /** Executes the request, if there is room for its response. */
+  private Promise<HttpResponse> begin(
       CallerRequest request, CallerConnection connection, GatewayConfig activeConfig) {
-    RequestExecution execution = new RequestExecution(services, request, activeConfig.version());
+    if (!request.rule().largeResponses()) {
+      return execute(request, Optional.empty(), connection, activeConfig);
+    }
+    Either<RequestOutcome.NotRun, TransferBudget<String>.Transfer> transfer =
+        services.largeResponses().begin(request);
+    if (transfer.isLeft()) {
+      metrics.recordOutcome(
+          request.rule(), transfer.getLeft(), System.nanoTime() - request.arrivalNanos());
+      return Promise.of(respond(request, transfer.getLeft(), connection));
+    }
+    return execute(request, Optional.of(transfer.get()), connection, activeConfig);
+  }
+
+  private Promise<HttpResponse> execute(
+      CallerRequest request,
+      Optional<TransferBudget<String>.Transfer> transfer,
+      CallerConnection connection,
+      GatewayConfig activeConfig) {
+    RequestExecution execution =
+        new RequestExecution(services, request, transfer, activeConfig.version());
     connection.setDisconnectHandler(execution::onCallerDisconnected);
     return execution
         .start()
         .map(
             outcome -> {
               log(request, activeConfig, execution, outcome);
-              return respond(request, outcome);
+              return respond(
+                  request,
+                  transfer
+                      .map(room -> services.largeResponses().track(request, outcome, room))
+                      .orElse(outcome),
+                  connection);
             });
   }
 
@@ -201,10 +228,11 @@
     };
   }
 
-  private HttpResponse respond(CallerRequest request, RequestOutcome outcome) {
+  private HttpResponse respond(
+      CallerRequest request, RequestOutcome outcome, CallerConnection connection) {
     return switch (outcome) {
       case RequestOutcome.Responded responded ->
-          forward(responded.response(), request.relay().isPresent());
+          forward(responded.response(), request.relay().isPresent(), connection);
       case RequestOutcome.NotRun notRun -> notRun(notRun.reason(), notRun.retryAfterMillis());
       case RequestOutcome.Unknown unknown ->
           failure(unknown.cause().status(), unknown.cause().name());
@@ -217,7 +245,8 @@
    * Returns the response of an endpoint to a caller, or to the VM that relayed the request. What an
    * endpoint says of itself is not for that VM, which does not know which endpoint it was.
    */
-  private HttpResponse forward(EndpointResponse endpointResponse, boolean toVm) {
+  private HttpResponse forward(
+      EndpointResponse endpointResponse, boolean toVm, CallerConnection connection) {
     HttpResponse.Builder response = HttpResponse.ofCode(endpointResponse.status());
     for (HeaderList.Line line : endpointResponse.headers().lines()) {
       HttpHeader header = HttpHeaders.of(line.name());
@@ -229,7 +258,15 @@
         response.withHeader(header, line.value());
       }
     }
-    return response.withBody(endpointResponse.body()).build();
+    if (endpointResponse.stream().isEmpty()) {
+      return response.withBody(endpointResponse.body()).build();
+    }
+    StreamedBody body = endpointResponse.stream().get();
+    services.largeResponses().limitSendBuffer(connection);
+    body.length()
+        .ifPresent(
+            length -> response.withHeader(HttpHeaders.CONTENT_LENGTH, String.valueOf(length)));
+    return response.withBodyStream(new ResponseBodyStream(body, connection)).build();
   }
 
   private Promise<HttpResponse> reject(HttpRequest request, HttpResponse response) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/NotRunReasons.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/NotRunReasons.java
@@ -18,6 +18,9 @@
   /** The bodies of all requests together hold too much memory. */
   static final String BUFFERS_FULL = "BUFFERS_FULL";
 
+  /** The large responses that are on their way to callers hold too much memory. */
+  static final String RESPONSES_FULL = "RESPONSES_FULL";
+
   /** This VM reaches no endpoint, and no other VM can send the request to one. */
   static final String CUT_OFF = "CUT_OFF";
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.placement.AttemptResult;
@@ -20,6 +21,7 @@
   private final long startedNanos = System.nanoTime();
   private final List<ScheduledRunnable> timers = new ArrayList<>();
   private boolean hedged;
+  private OptionalLong respondedNanos = OptionalLong.empty();
 
   RequestAttempt(
       Placer placer,
@@ -65,6 +67,15 @@
     hedged = true;
   }
 
+  /**
+   * Records that the response has begun. What follows depends on the caller's pace too, and says
+   * nothing about the endpoint's.
+   */
+  void markResponded() {
+    timers.forEach(ScheduledRunnable::cancel);
+    respondedNanos = OptionalLong.of(System.nanoTime());
+  }
+
   /** Closes the connection, so that the endpoint stops its work, and ends the attempt. */
   void cancel() {
     connection.close();
@@ -79,7 +90,7 @@
   /** Ends the attempt. */
   void finish(Status status, EndpointReport report) {
     timers.forEach(ScheduledRunnable::cancel);
-    long elapsedNanos = System.nanoTime() - startedNanos;
+    long elapsedNanos = respondedNanos.orElseGet(System::nanoTime) - startedNanos;
     Optional<Long> connectNanos =
         connection.connectNanos().isPresent()
             ? Optional.of(connection.connectNanos().getAsLong())
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -23,6 +23,7 @@
 import org.mustardstage.core.placement.RejectionReason;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
+import org.mustardstage.core.transfer.TransferBudget;
 
 /**
  * Executes one request of a caller: requests a placement, sends the request to the chosen endpoint,
@@ -66,6 +67,10 @@
   private final Supplier<RequestFingerprint> fingerprint;
 
   private final CallerRequest request;
+
+  /** The room for the response, if it is a large one. */
+  private final Optional<TransferBudget<String>.Transfer> transfer;
+
   private final SettablePromise<RequestOutcome> outcome = new SettablePromise<>();
   private final Set<EndpointId> triedEndpoints = new HashSet<>();
   private final List<String> trace = new ArrayList<>();
@@ -79,18 +84,24 @@
 
   private final AttemptBudget attemptBudget;
   private int failedConnects;
+  private Optional<StreamedAttempt> streamed = Optional.empty();
   private boolean relaying;
   private boolean mayHaveRun;
 
   /** A server error from an endpoint, forwarded if no other endpoint responds with a success. */
   private Optional<RequestOutcome.Responded> failedResponse = Optional.empty();
 
-  RequestExecution(GatewayServices services, CallerRequest request, ConfigVersion configVersion) {
+  RequestExecution(
+      GatewayServices services,
+      CallerRequest request,
+      Optional<TransferBudget<String>.Transfer> transfer,
+      ConfigVersion configVersion) {
     this.services = services;
     this.reactor = services.reactor();
     this.connections = services.connections();
     this.linkMonitor = services.linkMonitor();
     this.request = request;
+    this.transfer = transfer;
     this.fingerprint = Suppliers.memoize(request::fingerprint);
     this.lostAttempts =
         new LostAttempts(reactor, connections, linkMonitor, services.crashGuard(), fingerprint);
@@ -319,7 +330,7 @@
             request, endpoint, services.headerNames(), Math.max(1, remainingMillis));
     triedEndpoints.add(endpoint.id());
     Optional<EndpointConnectionPool.Sent> sent =
-        connections.send(endpoint.address(), request, bytes);
+        connections.send(endpoint.address(), request, transfer, bytes);
     if (sent.isEmpty()) {
       services.placer().release(request.service(), placed, AttemptResult.abandoned());
       failUnlessInFlight(NotRunReasons.NO_LINK);
@@ -459,8 +470,17 @@
       retryOrFail(RequestOutcome.Unknown.Cause.ANSWER_SPOILED);
       return;
     }
-    returnToPool(current);
     lostAttempts.recordResponse();
+    if (response.stream().isPresent()) {
+      StreamedAttempt attempt =
+          new StreamedAttempt(services, request, current, report, response.stream().get());
+      streamed = Optional.of(attempt);
+      attempt.start();
+      cancelAttempts();
+      finish(new RequestOutcome.Responded(response));
+      return;
+    }
+    returnToPool(current);
     boolean failed = response.status() >= MIN_SERVER_ERROR_STATUS;
     current.finish(failed ? Status.FAILED : Status.ANSWERED, report);
     RequestOutcome.Responded responded = new RequestOutcome.Responded(response);
@@ -534,6 +554,7 @@
   /** Cancels the pending placement and all attempts, as nobody waits for the response. */
   void onCallerDisconnected() {
     if (outcome.isComplete()) {
+      streamed.ifPresent(StreamedAttempt::onCallerDisconnected);
       return;
     }
     cancelAttempts();
--- a/entry/src/main/java/org/mustardstage/entry/gateway/ResponseParser.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/ResponseParser.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Parses the bytes of one connection into HTTP responses. It is strict: any ambiguous framing is
@@ -37,6 +38,10 @@
   private Head head;
 
   private ByteArrayOutputStream body;
+
+  /** The size of the body so far, with what was taken by {@link #takeBody}. */
+  private long bodyBytes;
+
   private long bodyRemaining;
   private boolean atChunkHeader;
   private boolean atTrailers;
@@ -107,7 +112,7 @@
           case LENGTH -> consumeBody();
           case CHUNKED -> consumeChunks();
           case UNTIL_CLOSE -> {
-            bodyRemaining = (long) MAX_BODY_BYTES - body.size();
+            bodyRemaining = MAX_BODY_BYTES - bodyBytes;
             consumeBody();
             yield false;
           }
@@ -125,6 +130,27 @@
         : Optional.empty();
   }
 
+  /** Returns the head of the response whose body is incomplete, if there is one. */
+  Optional<EndpointResponse> incomplete() {
+    return head == null
+        ? Optional.empty()
+        : Optional.of(new EndpointResponse(head.status(), head.headers(), new byte[0]));
+  }
+
+  /** Returns the length of the body that is incomplete, if the endpoint stated it. */
+  OptionalLong statedLength() {
+    return head != null && head.framing() == Framing.LENGTH
+        ? OptionalLong.of(bodyBytes + bodyRemaining)
+        : OptionalLong.empty();
+  }
+
+  /** Removes and returns what has arrived of the incomplete body. */
+  byte[] takeBody() {
+    byte[] taken = body.toByteArray();
+    body.reset();
+    return taken;
+  }
+
   private EndpointResponse finish() {
     EndpointResponse response =
         new EndpointResponse(head.status(), head.headers(), body.toByteArray());
@@ -150,6 +176,7 @@
     Framing framing = framingOf(status, headers);
     head = new Head(status, headers, framing);
     body = new ByteArrayOutputStream();
+    bodyBytes = 0;
     atChunkHeader = true;
     atTrailers = false;
     return true;
@@ -263,7 +290,8 @@
     body.write(buffer, start, length);
     start += length;
     bodyRemaining -= length;
-    if (body.size() >= MAX_BODY_BYTES) {
+    bodyBytes += length;
+    if (bodyBytes >= MAX_BODY_BYTES) {
       throw new MalformedResponseException("response body is too long");
     }
     return bodyRemaining == 0;
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -83,7 +83,13 @@
   /** The control thread caught an unexpected exception. */
   CONTROL_FAULT(90, Level.ERROR),
   /** The traffic thread caught an unexpected exception. */
-  TRAFFIC_FAULT(91, Level.ERROR);
+  TRAFFIC_FAULT(91, Level.ERROR),
+  /** A request was refused, as there is no room for its large response. */
+  LARGE_REQUEST_REFUSED(130, Level.INFO),
+  /** A large response ended before the caller had all of it. */
+  LARGE_RESPONSE_CUT(131, Level.INFO),
+  /** The send buffer of a caller's connection could not be limited. */
+  SEND_BUFFER_NOT_LIMITED(132, Level.DEBUG);
 
   private final int number;
   private final Level level;
--- a/entry/src/main/java/org/mustardstage/entry/traffic/CallerConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/CallerConnection.java
@@ -1,6 +1,8 @@
 package org.mustardstage.entry.traffic;
 
 import io.activej.net.socket.tcp.TcpSocket;
+import java.io.IOException;
+import java.net.StandardSocketOptions;
 
 /** The state of one open caller connection: its phase, its timers and its disconnect handler. */
 public final class CallerConnection {
@@ -38,6 +40,15 @@
     closeAfterResponse = true;
   }
 
+  /**
+   * Limits what the operating system holds of a response that the caller reads slowly, for all
+   * further responses on the connection. Without it the system's own limit applies, which is
+   * megabytes for each connection.
+   */
+  public void limitSendBuffer(int bytes) throws IOException {
+    socket.getSocketChannel().setOption(StandardSocketOptions.SO_SNDBUF, bytes);
+  }
+
   /** Records whether progress now depends only on the caller, and restarts the progress timeout. */
   void setWaitingForCaller(boolean waiting) {
     waitingForCaller = waiting;
--- a/entry/src/main/java/org/mustardstage/entry/traffic/ResponseBodyStream.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/ResponseBodyStream.java
@@ -9,11 +9,12 @@
  * A streamed response body. Records on the connection when the transfer waits for the caller, so
  * that a caller which reads too slowly is disconnected.
  */
-final class ResponseBodyStream extends AbstractChannelSupplier<ByteBuf> {
+public final class ResponseBodyStream extends AbstractChannelSupplier<ByteBuf> {
   private final ChannelSupplier<ByteBuf> stream;
   private final CallerConnection connection;
 
-  ResponseBodyStream(ChannelSupplier<ByteBuf> stream, CallerConnection connection) {
+  /** Wraps {@code stream}, which is sent to the caller of {@code connection}. */
+  public ResponseBodyStream(ChannelSupplier<ByteBuf> stream, CallerConnection connection) {
     super(stream);
     this.stream = stream;
     this.connection = connection;
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -65,6 +65,7 @@
   FakeEndpoint first;
   FakeEndpoint second;
   GatewayServer server;
+  GatewayMetrics metrics;
   HostAndPort address;
   private boolean serverStopped;
 
@@ -73,8 +74,8 @@
     first = new FakeEndpoint("i-1");
     second = new FakeEndpoint("i-2");
     address = TestPorts.freeAddress();
-    server =
-        new GatewayServer(settings(address), new FakeAdapter(), new GatewayMetrics(), HEAP_BYTES);
+    metrics = new GatewayMetrics();
+    server = new GatewayServer(settings(address), new FakeAdapter(), metrics, HEAP_BYTES);
     server.start(new ReadyStatus());
     server.onConfig(config());
     publish(first, second);
@@ -167,7 +168,24 @@
                 rule("look", true, 5_000, ORDERS),
                 rule("book", false, 1_000, ORDERS),
                 rule("brief", false, 200, ORDERS),
-                rule("reports", false, 3_000, REPORTS))));
+                rule("reports", false, 3_000, REPORTS),
+                largeRule("bundles", 3_000, REPORTS))));
+  }
+
+  private static RoutingRule largeRule(String name, long timeoutMillis, ServiceName service) {
+    return new RoutingRule(
+        name,
+        "/" + name + "/",
+        /* idempotent= */ true,
+        300,
+        1,
+        /* affinity= */ false,
+        List.of(new WeightedService(service, 1)),
+        timeoutMillis,
+        2,
+        ImmutableSet.of(),
+        /* anonymous= */ true,
+        /* largeResponses= */ true);
   }
 
   private static RoutingRule rule(
