Show that responses beyond the room wait at the endpoint

Cause: the test of slow readers stays within its reservations, so nothing drove the stop and the resumption. Change: four responses of 12 MB whose callers read nothing, then everything. Result: passes; with the stop taken out it failed (49.9 MB held, 41.9 MB allowed).

--- a/entry/src/test/java/org/mustardstage/entry/gateway/SlowReadersTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/SlowReadersTest.java
@@ -152,4 +152,31 @@
       endpoint.close();
     }
   }
+
+  @Test
+  void responsesBeyondTheRoomWaitAtTheEndpointUntilTheirCallersRead() throws Exception {
+    int bytes = 12 << 20;
+    int[] firstLength = {RESPONSE_BYTES};
+    second.setHandler(
+        (request, socket) -> FakeEndpoint.respondOk(request, socket, "x".repeat(firstLength[0])));
+    publish(
+        ImmutableMap.of(
+            REPORTS, ImmutableList.of(new UsableEndpoint(second.registration(REPORTS, 9), 0))));
+    assertThat(get("/bundles/0").body().length(), is(RESPONSE_BYTES));
+    firstLength[0] = bytes;
+
+    List<Socket> callers = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      callers.add(ask(i));
+    }
+    Thread.sleep(1_000);
+    double held = gauge("mustardstage_large_response_held_bytes");
+    assertThat(held, is(greaterThan((double) bytes)));
+    assertThat(held, is(lessThanOrEqualTo(HEAP_BYTES / 4.0)));
+    for (Socket caller : callers) {
+      assertThat(readHead(caller.getInputStream()), containsString("HTTP/1.1 200"));
+      assertThat(caller.getInputStream().readNBytes(bytes).length, is(bytes));
+      caller.close();
+    }
+  }
 }
