Test that refused callers find room when they come back as told

Cause: the test of the time to retry checked only its range. Change: it replays 40 refused callers that come back while transfers end at 10 a second.

--- a/core/src/test/java/org/mustardstage/core/transfer/TransferBudgetTest.java
+++ b/core/src/test/java/org/mustardstage/core/transfer/TransferBudgetTest.java
@@ -7,9 +7,13 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.vavr.control.Either;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
+import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 final class TransferBudgetTest {
@@ -99,25 +103,52 @@
     }
   }
 
+  /** Transfers end one after the other, 10 a second, while those that were refused come back. */
   @Test
-  void refusalNamesATimeAfterWhichThereIsRoomAtTheRateOfTheTransfers() {
-    List<TransferBudget<String>.Transfer> running = new ArrayList<>();
-    for (int i = 0; i < 30; i++) {
-      running.add(begin("caller-" + i % 10, RESPONSE_BYTES));
+  void callersThatComeBackWhenToldFindRoom() {
+    Deque<TransferBudget<String>.Transfer> running = new ArrayDeque<>();
+    long nowMillis = 0;
+    Either<TransferBudget.Refusal, TransferBudget<String>.Transfer> next =
+        budget.begin(0, "first", RESPONSE_BYTES);
+    while (next.isRight()) {
+      running.add(next.get());
+      next = budget.begin(0, "caller-" + running.size(), RESPONSE_BYTES);
     }
-    ordinaryBytes = CAPACITY_BYTES - budget.reservedBytes();
-    long nowNanos = 0;
     for (int i = 0; i < 20; i++) {
-      nowNanos += 100_000_000;
-      running.get(i).end(nowNanos);
-      ordinaryBytes = CAPACITY_BYTES - budget.reservedBytes();
+      nowMillis += 100;
+      running.removeFirst().end(TimeUnit.MILLISECONDS.toNanos(nowMillis));
+      running.add(begin("other-" + i, RESPONSE_BYTES));
     }
-    for (int i = 0; i < 10; i++) {
-      Either<TransferBudget.Refusal, ?> refused =
-          budget.begin(nowNanos, "caller-" + i, RESPONSE_BYTES).mapLeft(refusal -> refusal);
-      assertThat(refused.getLeft().retryAfterMillis(), greaterThanOrEqualTo(100L));
-      assertThat(refused.getLeft().retryAfterMillis(), lessThanOrEqualTo(10_000L));
+    PriorityQueue<Long> returns = new PriorityQueue<>();
+    long refusedAtMillis = nowMillis;
+    for (int i = 0; i < 40; i++) {
+      returns.add(refusedAtMillis + refuse(nowMillis, "late-" + i));
     }
+    int servedAtFirstReturn = 0;
+    while (!returns.isEmpty()) {
+      nowMillis += 100;
+      long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMillis);
+      if (!running.isEmpty()) {
+        running.removeFirst().end(nowNanos);
+      }
+      while (!returns.isEmpty() && returns.peek() <= nowMillis) {
+        returns.remove();
+        Either<TransferBudget.Refusal, TransferBudget<String>.Transfer> begun =
+            budget.begin(nowNanos, "back-" + returns.size(), RESPONSE_BYTES);
+        if (begun.isRight()) {
+          running.add(begun.get());
+          servedAtFirstReturn++;
+        }
+      }
+    }
+    assertThat(servedAtFirstReturn, greaterThanOrEqualTo(36));
+  }
+
+  private long refuse(long nowMillis, String caller) {
+    return budget
+        .begin(TimeUnit.MILLISECONDS.toNanos(nowMillis), caller, RESPONSE_BYTES)
+        .getLeft()
+        .retryAfterMillis();
   }
 
   @Test
