--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -52,6 +52,9 @@
   /** The share of the heap that the buffers of all incomplete responses may hold. */
   private static final double RESPONSE_BUFFERS_HEAP_SHARE = 0.25;
 
+  /** The share of the heap that all large responses may hold until callers have taken them. */
+  private static final double LARGE_RESPONSES_HEAP_SHARE = 0.25;
+
   private static final long CONNECTION_SWEEP_INTERVAL_MILLIS = 500;
   private static final long IDLE_CHECK_INTERVAL_MILLIS = 20;
 
@@ -69,6 +72,7 @@
   private final GatewayServlet servlet;
   private final CrashGuard crashGuard = new CrashGuard();
   private final QuotaGate quotas;
+  private final LargeResponses largeResponses;
   private final HttpServer callerServer;
   private final List<HttpServer> otherServers = new ArrayList<>();
   private Optional<GatewayConfig> config = Optional.empty();
@@ -96,6 +100,9 @@
     HeaderNames headerNames = adapter.headerNames();
     BufferBudget<EndpointConnection> responseBuffers =
         new BufferBudget<>((long) (RESPONSE_BUFFERS_HEAP_SHARE * heapBytes));
+    this.largeResponses =
+        new LargeResponses(
+            (long) (LARGE_RESPONSES_HEAP_SHARE * heapBytes), responseBuffers::heldBytes, metrics);
     this.endpointConnections = new EndpointConnectionPool(eventloop, headerNames, responseBuffers);
     this.vmConnections = new EndpointConnectionPool(eventloop, headerNames, responseBuffers);
     this.relayNetwork =
@@ -120,6 +127,7 @@
                 relayNetwork,
                 crashGuard,
                 quotas,
+                largeResponses,
                 headerNames),
             () -> rejectsNewRequests,
             () -> keyCheck.getAsBoolean(),
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServices.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServices.java
@@ -12,6 +12,7 @@
  * @param relayNetwork relays requests to other VMs
  * @param crashGuard rejects requests that have ended several endpoints
  * @param quotas gives the attempts of tenants their permits
+ * @param largeResponses the room for large responses
  * @param headerNames the headers that callers and endpoints use
  */
 record GatewayServices(
@@ -22,4 +23,5 @@
     RelayNetwork relayNetwork,
     CrashGuard crashGuard,
     QuotaGate quotas,
+    LargeResponses largeResponses,
     HeaderNames headerNames) {}
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -89,7 +89,13 @@
   /** This VM began or ceased to hand out quotas of tenants. */
   QUOTA_OWNERSHIP_CHANGED(110, Level.INFO),
   /** Requests of a tenant were refused because of its quota. */
-  QUOTA_REFUSED(111, Level.WARN);
+  QUOTA_REFUSED(111, Level.WARN),
+  /** A request was refused, as there is no room for its large response. */
+  LARGE_REQUEST_REFUSED(130, Level.INFO),
+  /** A large response ended before the caller had all of it. */
+  LARGE_RESPONSE_CUT(131, Level.INFO),
+  /** The send buffer of a caller's connection could not be limited. */
+  SEND_BUFFER_NOT_LIMITED(132, Level.DEBUG);
 
   private final int number;
   private final Level level;
