--- a/entry/src/main/java/org/mustardstage/entry/gateway/DeploymentState.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/DeploymentState.java
@@ -150,7 +150,14 @@
     config.set(Optional.of(newer));
     listener.onConfig(newer);
     publishEndpoints();
-    EventLog.log(Event.CONFIG_IN_FORCE, "version", newer.version());
+    EventLog.log(
+        Event.CONFIG_IN_FORCE,
+        "version",
+        newer.version(),
+        "tenants",
+        newer.tenants().tenants().size(),
+        "keys",
+        newer.tenants().keyCount());
   }
 
   private void publishEndpoints() {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -153,6 +153,21 @@
     processQueues();
   }
 
+  /** Returns the state of each service. */
+  ImmutableList<GatewayMetrics.ServiceState> serviceStates() {
+    long nowNanos = clock.getAsLong();
+    ImmutableList.Builder<GatewayMetrics.ServiceState> states = ImmutableList.builder();
+    schedulers.forEach(
+        (name, scheduler) -> {
+          ImmutableList<UsableEndpoint> usable = endpoints.getOrDefault(name, ImmutableList.of());
+          int cold = (int) usable.stream().filter(e -> e.coldUntilNanos() - nowNanos > 0).count();
+          states.add(
+              new GatewayMetrics.ServiceState(
+                  name, scheduler.queueLength(), usable.size() - cold, cold));
+        });
+    return states.build();
+  }
+
   /** Replaces the view of the VMs, by which limits and cold endpoints are divided among them. */
   void setMembers(MemberView view) {
     if (view.statuses().size() > retrySharingVms) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
@@ -1,16 +1,27 @@
 package org.mustardstage.entry.gateway;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Optional;
 import org.mustardstage.core.gateway.RoutingRule;
+import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.tenant.Tenant;
 
-/** Counts requests by rule and outcome, and measures their duration. Safe on any thread. */
+/**
+ * Counts requests by rule, tenant and outcome, measures their duration, and shows the state of
+ * services. Safe on any thread.
+ */
 final class GatewayMetrics {
+  /** Tenants beyond these are counted together. */
+  private static final int MAX_TENANTS = 200;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -29,8 +40,67 @@
           .classicUpperBounds(0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8)
           .register(registry);
 
+  private final Counter tenantRequests =
+      Counter.builder()
+          .name("mustardstage_tenant_requests")
+          .help("Requests of a tenant that have their answer, with the reason if none ran.")
+          .labelNames("tenant", "end", "reason")
+          .register(registry);
+  private final Counter rejected =
+      Counter.builder()
+          .name("mustardstage_rejected_requests")
+          .help("Requests that were rejected by their head, before they had a tenant.")
+          .labelNames("reason")
+          .register(registry);
+  private final Gauge queued =
+      Gauge.builder()
+          .name("mustardstage_queued_requests")
+          .help("Requests that wait for an endpoint.")
+          .labelNames("service")
+          .register(registry);
+  private final Gauge endpoints =
+      Gauge.builder()
+          .name("mustardstage_endpoints")
+          .help("Endpoints that may get new requests.")
+          .labelNames("service", "state")
+          .register(registry);
+  private final TenantLabels tenantLabels = new TenantLabels(MAX_TENANTS);
+
+  /** Records that a request was rejected by its head. */
+  void recordRejected(RequestReader.Problem problem) {
+    rejected.labelValues(problem.name()).inc();
+  }
+
+  /** Replaces what is known of the services. */
+  void setServices(List<ServiceState> services) {
+    queued.clear();
+    endpoints.clear();
+    for (ServiceState service : services) {
+      String name = service.service().value();
+      queued.labelValues(name).set(service.queuedRequests());
+      endpoints.labelValues(name, "warm").set(service.warmEndpoints());
+      endpoints.labelValues(name, "cold").set(service.coldEndpoints());
+    }
+  }
+
+  /**
+   * The state of a service at this VM.
+   *
+   * @param queuedRequests the requests that wait here for an endpoint
+   * @param warmEndpoints the endpoints that may get requests and have long started
+   * @param coldEndpoints the endpoints that may get requests and have just started
+   */
+  record ServiceState(
+      ServiceName service, int queuedRequests, int warmEndpoints, int coldEndpoints) {}
+
   /** Records the outcome and the duration of a request. */
-  void recordOutcome(RoutingRule rule, RequestOutcome outcome, long durationNanos) {
+  void recordOutcome(
+      RoutingRule rule, Optional<Tenant> tenant, RequestOutcome outcome, long durationNanos) {
+    if (tenant.isPresent()) {
+      tenantRequests
+          .labelValues(tenantLabels.labelOf(tenant), labelOf(outcome), reasonOf(outcome))
+          .inc();
+    }
     requests.labelValues(rule.name(), labelOf(outcome)).inc();
     seconds.labelValues(rule.name()).observe(durationNanos / NANOS_PER_SECOND);
   }
@@ -45,6 +115,15 @@
     };
   }
 
+  private static String reasonOf(RequestOutcome outcome) {
+    return switch (outcome) {
+      case RequestOutcome.NotRun notRun -> notRun.reason();
+      case RequestOutcome.Unknown unknown -> unknown.cause().name();
+      case RequestOutcome.Responded responded -> "";
+      case RequestOutcome.CallerDisconnected disconnected -> "";
+    };
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   byte[] scrape() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -184,7 +184,10 @@
         .ifPresent(listen -> addServer(listen, adapter.lookupServlet(eventloop, status)));
     addServer(
         settings.metricsAddress(),
-        request -> HttpResponse.ok200().withBody(metrics.scrape()).toPromise());
+        request -> {
+          metrics.setServices(dispatcher.serviceStates());
+          return HttpResponse.ok200().withBody(metrics.scrape()).toPromise();
+        });
   }
 
   @Override
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -85,7 +85,7 @@
     Either<RequestReader.Problem, RequestReader.Head> head =
         reader.read(httpRequest, activeConfig.get(), nowNanos, services.relayNetwork()::isVm);
     if (head.isLeft()) {
-      return reject(httpRequest, head.getLeft());
+      return reject(httpRequest, head.getLeft(), activeConfig.get());
     }
     ServiceName service = serviceSelector.select(head.get().rule());
     CallerConnection connection = CallerConnections.of(httpRequest);
@@ -151,7 +151,8 @@
       RequestExecution execution,
       RequestOutcome outcome) {
     long nowNanos = System.nanoTime();
-    metrics.recordOutcome(request.rule(), outcome, nowNanos - request.arrivalNanos());
+    metrics.recordOutcome(
+        request.rule(), request.tenant(), outcome, nowNanos - request.arrivalNanos());
     if (execution.lostAttempts() > 0) {
       EventLog.log(
           Event.ATTEMPTS_LOST,
@@ -252,9 +253,11 @@
                 }));
   }
 
-  private Promise<HttpResponse> reject(HttpRequest request, RequestReader.Problem problem) {
+  private Promise<HttpResponse> reject(
+      HttpRequest request, RequestReader.Problem problem, GatewayConfig activeConfig) {
+    metrics.recordRejected(problem);
     return switch (problem) {
-      case KEY_MISSING, KEY_UNKNOWN, KEY_MALFORMED -> rejectByKey(request, problem);
+      case KEY_MISSING, KEY_UNKNOWN, KEY_MALFORMED -> rejectByKey(request, problem, activeConfig);
       case OLDER_CONFIG ->
           reject(request, notRun(NotRunReasons.OLDER_CONFIG, OLDER_CONFIG_RETRY_AFTER_MILLIS));
       case KEYS_STALE ->
@@ -264,7 +267,8 @@
   }
 
   /** Responds at once, before the body, which is not kept, has arrived. */
-  private Promise<HttpResponse> rejectByKey(HttpRequest request, RequestReader.Problem problem) {
+  private Promise<HttpResponse> rejectByKey(
+      HttpRequest request, RequestReader.Problem problem, GatewayConfig activeConfig) {
     EventLog.log(
         Event.KEY_REJECTED,
         "request",
@@ -273,6 +277,8 @@
         Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse(""),
         "path",
         request.getPath(),
+        "config",
+        activeConfig.version(),
         "callerAddress",
         request.getRemoteAddress().getHostAddress(),
         "why",
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewaySettingsReaderTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ZoneId;
@@ -65,6 +66,19 @@
     assertThat(GatewaySettingsReader.read(SETTINGS + "movedShare: 2\n").isLeft(), is(true));
   }
 
+  @Test
+  void keyLifetimeIsReadAndChecked() {
+    assertThat(
+        GatewaySettingsReader.read(SETTINGS).get().keyLifetimeMillis(), is(OptionalLong.empty()));
+    assertThat(
+        GatewaySettingsReader.read(SETTINGS + "keyLifetimeSeconds: 5\n").get().keyLifetimeMillis(),
+        is(OptionalLong.of(5_000)));
+    for (String malformed : List.of("0", "-1", "true", "\"5\"", "null")) {
+      String text = SETTINGS + "keyLifetimeSeconds: " + malformed + "\n";
+      assertThat(malformed, GatewaySettingsReader.read(text).isLeft(), is(true));
+    }
+  }
+
   @Test
   void allProblemsAreReported() {
     Either<List<DocumentProblem>, GatewaySettings> read =
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -69,6 +69,7 @@
   FakeEndpoint second;
   GatewayServer server;
   HostAndPort address;
+  HostAndPort metricsAddress;
   private boolean serverStopped;
 
   @BeforeEach
@@ -76,8 +77,10 @@
     first = new FakeEndpoint("i-1");
     second = new FakeEndpoint("i-2");
     address = TestPorts.freeAddress();
+    metricsAddress = TestPorts.freeAddress();
     server =
-        new GatewayServer(settings(address), new FakeAdapter(), new GatewayMetrics(), HEAP_BYTES);
+        new GatewayServer(
+            settings(address, metricsAddress), new FakeAdapter(), new GatewayMetrics(), HEAP_BYTES);
     server.start(new ReadyStatus());
     server.onConfig(config());
     publish(first, second);
@@ -133,7 +136,8 @@
         .header("X-Deadline-Ms", "30000");
   }
 
-  private static GatewaySettings settings(HostAndPort address) throws IOException {
+  private static GatewaySettings settings(HostAndPort address, HostAndPort metricsAddress)
+      throws IOException {
     ZoneId zone = new ZoneId("north-a");
     RegionId region = new RegionId("north");
     return new GatewaySettings(
@@ -145,7 +149,7 @@
         TestPorts.freeAddress(),
         Optional.empty(),
         TestPorts.freeAddress(),
-        TestPorts.freeAddress(),
+        metricsAddress,
         TestPorts.freeAddress(),
         List.of(),
         1_000,
--- a/entry/src/test/java/org/mustardstage/entry/gateway/KeyedRequestsTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/KeyedRequestsTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
@@ -43,7 +44,7 @@
   static GatewayConfig configWithTenants(long version, Map<TenantName, List<String>> keys) {
     ImmutableMap.Builder<TenantName, Tenant> tenants = ImmutableMap.builder();
     for (TenantName name : keys.keySet()) {
-      tenants.put(name, new Tenant(name, OptionalInt.empty(), ImmutableSet.of(), Optional.empty()));
+      tenants.put(name, tenant(name.value()));
     }
     return new GatewayConfig(
         new ConfigVersion(version),
@@ -165,6 +166,47 @@
     served("/look/1", "X-Key: " + KEY + "\r\n");
   }
 
+  @Test
+  void requestsAreCountedByTenantAndReason() throws Exception {
+    served("/look/1", "X-Key: " + KEY + "\r\n");
+    call("/look/1", "X-Key: unknown\r\n");
+    publish(ImmutableList.of());
+    call("/look/1", "X-Key: " + KEY + "\r\n");
+
+    String metrics;
+    try (Socket operator = new Socket(InetAddress.getLoopbackAddress(), metricsAddress.port())) {
+      String request = "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n";
+      operator.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      metrics = new String(operator.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+    String requests = "mustardstage_tenant_requests_total";
+    for (String line :
+        List.of(
+            requests + "{end=\"answered_2xx\",reason=\"\",tenant=\"mill\"} 1",
+            requests + "{end=\"not_run\",reason=\"NO_ENDPOINT\",tenant=\"mill\"} 1",
+            "mustardstage_rejected_requests_total{reason=\"KEY_UNKNOWN\"} 1",
+            "mustardstage_queued_requests{service=\"orders\"} 0",
+            "mustardstage_endpoints{service=\"orders\",state=\"warm\"} 0")) {
+      assertThat(metrics, containsString(line));
+    }
+    assertThat(metrics, not(containsString("secret")));
+  }
+
+  @Test
+  void numberOfLabelsIsBounded() {
+    TenantLabels labels = new TenantLabels(2);
+    for (String name : List.of("a", "b", "a")) {
+      assertThat(labels.labelOf(Optional.of(tenant(name))), is(name));
+    }
+    assertThat(labels.labelOf(Optional.of(tenant("c"))), is(TenantLabels.OTHERS));
+    assertThat(labels.labelOf(Optional.empty()), is(TenantLabels.NO_TENANT));
+  }
+
+  private static Tenant tenant(String name) {
+    return new Tenant(
+        new TenantName(name), OptionalInt.empty(), ImmutableSet.of(), Optional.empty());
+  }
+
   @Test
   void pathWithoutRuleIsNotFoundWhateverTheKey() throws Exception {
     assertThat(call("/none/1", ""), containsString("HTTP/1.1 404 "));
