Accept no keys before the first news where keys have a lifetime

Cause: a VM that had just started counted its lifetime from its start, so by rows of a VM that is itself out of touch it accepted keys that might be gone; found by running two VMs of which the store rejected one. Change: the lifetime begins with the first news.

--- a/core/src/main/java/org/mustardstage/core/tenant/KeyLifetime.java
+++ b/core/src/main/java/org/mustardstage/core/tenant/KeyLifetime.java
@@ -11,29 +11,34 @@
  */
 public final class KeyLifetime {
   private final OptionalLong lifetimeMillis;
-  private volatile long currentNanos;
+  private volatile OptionalLong newsNanos = OptionalLong.empty();
 
   /**
-   * Creates a lifetime that starts now.
+   * Creates a lifetime that has not begun: without news, no key is accepted, as what a VM that has
+   * just started hears from others may be old.
    *
-   * @param lifetimeMillis how long the last known keys are accepted; empty if without end
+   * @param lifetimeMillis how long the last known keys are accepted; empty if without end, also
+   *     before the first news
    */
-  public KeyLifetime(OptionalLong lifetimeMillis, long nowNanos) {
+  public KeyLifetime(OptionalLong lifetimeMillis) {
     Preconditions.checkArgument(
         lifetimeMillis.orElse(1) > 0, "lifetime of keys must be positive: %s", lifetimeMillis);
     this.lifetimeMillis = lifetimeMillis;
-    this.currentNanos = nowNanos;
   }
 
   /** Records that the configuration was the newest one of the store at {@code nowNanos}. */
   public void recordCurrent(long nowNanos) {
-    currentNanos = nowNanos;
+    newsNanos = OptionalLong.of(nowNanos);
   }
 
   /** Returns whether the known keys may still be accepted. */
   public boolean acceptsKeys(long nowNanos) {
-    return lifetimeMillis.isEmpty()
-        || nowNanos - currentNanos <= TimeUnit.MILLISECONDS.toNanos(lifetimeMillis.getAsLong());
+    if (lifetimeMillis.isEmpty()) {
+      return true;
+    }
+    OptionalLong news = newsNanos;
+    return news.isPresent()
+        && nowNanos - news.getAsLong() <= TimeUnit.MILLISECONDS.toNanos(lifetimeMillis.getAsLong());
   }
 
   /**
--- a/core/src/test/java/org/mustardstage/core/tenant/KeyLifetimeTest.java
+++ b/core/src/test/java/org/mustardstage/core/tenant/KeyLifetimeTest.java
@@ -15,8 +15,10 @@
 
   @Test
   void keysAreAcceptedForTheirLifetimeAfterTheLastNews() {
-    KeyLifetime lifetime = new KeyLifetime(OptionalLong.of(5_000), nanos(100));
+    KeyLifetime lifetime = new KeyLifetime(OptionalLong.of(5_000));
 
+    assertThat("without any news", lifetime.acceptsKeys(nanos(1)), is(false));
+    lifetime.recordCurrent(nanos(100));
     assertThat(lifetime.acceptsKeys(nanos(5_100)), is(true));
     assertThat(lifetime.acceptsKeys(nanos(5_101)), is(false));
     lifetime.recordCurrent(nanos(6_000));
@@ -27,7 +29,7 @@
 
   @Test
   void withoutALifetimeKeysAreAcceptedForever() {
-    KeyLifetime lifetime = new KeyLifetime(OptionalLong.empty(), 0);
+    KeyLifetime lifetime = new KeyLifetime(OptionalLong.empty());
 
     assertThat(lifetime.acceptsKeys(Long.MAX_VALUE), is(true));
     assertThat(lifetime.callWaitMillis(4_000), is(4_000L));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -118,7 +118,7 @@
       StateListener stateListener) {
     this.stateListener = stateListener;
     this.settings = settings;
-    this.keyLifetime = new KeyLifetime(settings.keyLifetimeMillis(), clock.getAsLong());
+    this.keyLifetime = new KeyLifetime(settings.keyLifetimeMillis());
     this.deployment = new DeploymentState(adapter, clock, new DeploymentListener());
     this.self =
         new Member(
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -11,11 +11,13 @@
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -87,6 +89,54 @@
     }
   }
 
+  /**
+   * Guards against keys that were taken away and are accepted by a VM without news, and against
+   * keys that are not accepted while nothing changes. Two of the VMs have their news from the other
+   * two.
+   */
+  @Test
+  void keysAreAcceptedWhileThereAreNewsAndNotForLongAfterThem() throws Exception {
+    IdleStore store = new IdleStore();
+    HostAndPort firstPeer = TestPorts.freeAddress();
+    List<GatewayControl> vms = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      HostAndPort peer = i == 0 ? firstPeer : TestPorts.freeAddress();
+      List<HostAndPort> seeds = i == 0 ? List.of() : List.of(firstPeer);
+      GatewaySettings settings = settings("vm-" + i, peer, seeds, OptionalLong.of(4_000));
+      vms.add(
+          new GatewayControl(settings, new FakeAdapter(store), 1, new RecordingStateListener()));
+    }
+    for (GatewayControl vm : vms) {
+      vm.start();
+    }
+    try {
+      awaitKeysAccepted(vms);
+      for (int i = 0; i < 300; i++) {
+        for (GatewayControl vm : vms) {
+          assertThat(vms.indexOf(vm) + " after " + i, vm.acceptsKeys(), is(true));
+        }
+        Thread.sleep(20);
+      }
+      store.rejecting = true;
+      Thread.sleep(6_000);
+      for (GatewayControl vm : vms) {
+        assertThat(vm.acceptsKeys(), is(false));
+      }
+      store.rejecting = false;
+      awaitKeysAccepted(vms);
+    } finally {
+      vms.forEach(GatewayControl::stop);
+    }
+  }
+
+  private static void awaitKeysAccepted(List<GatewayControl> vms) throws InterruptedException {
+    for (GatewayControl vm : vms) {
+      while (!vm.acceptsKeys()) {
+        Thread.sleep(20);
+      }
+    }
+  }
+
   /**
    * Guards against an endpoint that has left and is used again by a VM that restarts: the store
    * still says that it is ready, but its responses told the other VM that it is leaving.
@@ -120,6 +170,12 @@
 
   private static GatewaySettings settings(String vm, HostAndPort peer, List<HostAndPort> seeds)
       throws IOException {
+    return settings(vm, peer, seeds, OptionalLong.empty());
+  }
+
+  private static GatewaySettings settings(
+      String vm, HostAndPort peer, List<HostAndPort> seeds, OptionalLong keyLifetimeMillis)
+      throws IOException {
     return new GatewaySettings(
         new VmId(vm),
         ZONE,
@@ -137,7 +193,7 @@
         0.2,
         100,
         new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
-        OptionalLong.empty(),
+        keyLifetimeMillis,
         420,
         "info");
   }
@@ -213,6 +269,25 @@
     }
   }
 
+  /** A store in which nothing changes, and that may reject every call. */
+  private static final class IdleStore implements RowStore {
+    private volatile boolean rejecting;
+
+    @Override
+    public Promise<Either<PlatformFailure, Rows>> readAll(PlatformAdapter.Table table) {
+      return rejecting ? new RejectingStore().readAll(table) : new ReachableStore().readAll(table);
+    }
+
+    @Override
+    public Promise<Either<PlatformFailure, Rows>> readChanges(
+        PlatformAdapter.Table table, long afterVersion, long waitMillis) {
+      return rejecting
+          ? new RejectingStore().readChanges(table, afterVersion, waitMillis)
+          : Promises.delay(
+              waitMillis, Either.right(new Rows(List.of(), new StorePosition(0, afterVersion))));
+    }
+  }
+
   /** A store that rejects every call. */
   private static final class RejectingStore implements RowStore {
     @Override
