--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -87,7 +87,7 @@
     Either<RequestReader.Problem, RequestReader.Head> head =
         reader.read(httpRequest, activeConfig.get(), nowNanos, services.relayNetwork()::isVm);
     if (head.isLeft()) {
-      return reject(httpRequest, head.getLeft());
+      return reject(httpRequest, head.getLeft(), activeConfig.get());
     }
     ServiceName service = serviceSelector.select(head.get().rule());
     CallerConnection connection = CallerConnections.of(httpRequest);
@@ -144,7 +144,10 @@
         services.largeResponses().begin(request);
     if (transfer.isLeft()) {
       metrics.recordOutcome(
-          request.rule(), transfer.getLeft(), System.nanoTime() - request.arrivalNanos());
+          request.rule(),
+          request.tenant(),
+          transfer.getLeft(),
+          System.nanoTime() - request.arrivalNanos());
       return Promise.of(respond(request, transfer.getLeft(), connection));
     }
     return execute(request, Optional.of(transfer.get()), connection, activeConfig);
@@ -178,7 +181,8 @@
       RequestExecution execution,
       RequestOutcome outcome) {
     long nowNanos = System.nanoTime();
-    metrics.recordOutcome(request.rule(), outcome, nowNanos - request.arrivalNanos());
+    metrics.recordOutcome(
+        request.rule(), request.tenant(), outcome, nowNanos - request.arrivalNanos());
     if (execution.lostAttempts() > 0) {
       EventLog.log(
           Event.ATTEMPTS_LOST,
@@ -289,9 +293,11 @@
                 }));
   }
 
-  private Promise<HttpResponse> reject(HttpRequest request, RequestReader.Problem problem) {
+  private Promise<HttpResponse> reject(
+      HttpRequest request, RequestReader.Problem problem, GatewayConfig activeConfig) {
+    metrics.recordRejected(problem);
     return switch (problem) {
-      case KEY_MISSING, KEY_UNKNOWN, KEY_MALFORMED -> rejectByKey(request, problem);
+      case KEY_MISSING, KEY_UNKNOWN, KEY_MALFORMED -> rejectByKey(request, problem, activeConfig);
       case OLDER_CONFIG ->
           reject(request, notRun(NotRunReasons.OLDER_CONFIG, OLDER_CONFIG_RETRY_AFTER_MILLIS));
       case KEYS_STALE ->
@@ -301,7 +307,8 @@
   }
 
   /** Responds at once, before the body, which is not kept, has arrived. */
-  private Promise<HttpResponse> rejectByKey(HttpRequest request, RequestReader.Problem problem) {
+  private Promise<HttpResponse> rejectByKey(
+      HttpRequest request, RequestReader.Problem problem, GatewayConfig activeConfig) {
     EventLog.log(
         Event.KEY_REJECTED,
         "request",
@@ -310,6 +317,8 @@
         Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse(""),
         "path",
         request.getPath(),
+        "config",
+        activeConfig.version(),
         "callerAddress",
         request.getRemoteAddress().getHostAddress(),
         "why",
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -70,6 +70,7 @@
   GatewayServer server;
   GatewayMetrics metrics;
   HostAndPort address;
+  HostAndPort metricsAddress;
   private boolean serverStopped;
 
   @BeforeEach
@@ -78,7 +79,10 @@
     second = new FakeEndpoint("i-2");
     address = TestPorts.freeAddress();
     metrics = new GatewayMetrics();
-    server = new GatewayServer(settings(address), new FakeAdapter(), metrics, HEAP_BYTES);
+    metricsAddress = TestPorts.freeAddress();
+    server =
+        new GatewayServer(
+            settings(address, metricsAddress), new FakeAdapter(), metrics, HEAP_BYTES);
     server.start(new ReadyStatus());
     server.onConfig(config());
     publish(first, second);
@@ -134,7 +138,8 @@
         .header("X-Deadline-Ms", "30000");
   }
 
-  private static GatewaySettings settings(HostAndPort address) throws IOException {
+  private static GatewaySettings settings(HostAndPort address, HostAndPort metricsAddress)
+      throws IOException {
     ZoneId zone = new ZoneId("north-a");
     RegionId region = new RegionId("north");
     return new GatewaySettings(
@@ -146,7 +151,7 @@
         TestPorts.freeAddress(),
         Optional.empty(),
         TestPorts.freeAddress(),
-        TestPorts.freeAddress(),
+        metricsAddress,
         TestPorts.freeAddress(),
         List.of(),
         1_000,
