Leave slots to tenants that ask as usual when one asks for many times its usual

Cause: placement did not know tenants; one that sends 7.5 times its usual, and callers that repeat at once, took slots from all others alike. Change: TenantShares (core.fairness) keeps a virtual clock for each tenant, counted in the requests that this VM receives, also rejected and repeated ones. A tenant that is ahead of its usual share comes after the others of its priority in the queue and leaves a quarter of an endpoint's slots free. Without tenants nothing changes.

--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -5,13 +5,16 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import org.mustardstage.core.fairness.TenantShares;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.gateway.ServiceSpec;
 import org.mustardstage.core.id.EndpointId;
@@ -54,8 +57,12 @@
   /** Lower end of the jitter that spreads the retries of callers rejected at the same time. */
   private static final double MIN_RETRY_SPREAD = 0.75;
 
-  private static final Comparator<SchedulerRequest> BY_PRIORITY =
+  /** Free slots of an endpoint that tenants above their share leave to others, as a share. */
+  private static final double RESERVED_SLOTS_SHARE = 0.25;
+
+  private final Comparator<SchedulerRequest> byPriority =
       Comparator.<SchedulerRequest>comparingInt(SchedulerRequest::priority)
+          .thenComparing(this::isAboveShare)
           .thenComparingLong(SchedulerRequest::objectiveDeadlineNanos)
           .thenComparingLong(SchedulerRequest::id);
 
@@ -68,7 +75,12 @@
   private final ServiceTimeEstimates serviceTimes = new ServiceTimeEstimates();
   private final WarmProbability warmProbabilityByRegion = new WarmProbability();
   private final Map<EndpointId, EndpointState> endpoints = new HashMap<>();
-  private final NavigableSet<SchedulerRequest> queue = new TreeSet<>(BY_PRIORITY);
+  private final NavigableSet<SchedulerRequest> queue = new TreeSet<>(byPriority);
+  private final TenantShares tenantShares = new TenantShares();
+
+  /** The ids of queued requests whose tenants ask for more than their share. */
+  private final Set<Long> aboveShare = new HashSet<>();
+
   private final RendezvousOrder rendezvousOrder;
   private final QueueWaitEstimate queueWaitEstimate = new QueueWaitEstimate();
   private PlacementSettings settings;
@@ -160,6 +172,22 @@
    * @return the decision, or empty if the request is queued and {@link #processQueue} decides
    */
   public Optional<PlacementDecision> placeOrEnqueue(long nowNanos, SchedulerRequest request) {
+    request
+        .tenant()
+        .filter(tenant -> tenantShares.recordRequest(tenant.name()))
+        .ifPresent(tenant -> aboveShare.add(request.id()));
+    Optional<PlacementDecision> decision = decideNew(nowNanos, request);
+    if (decision.isPresent()) {
+      aboveShare.remove(request.id());
+    }
+    return decision;
+  }
+
+  private boolean isAboveShare(SchedulerRequest request) {
+    return aboveShare.contains(request.id());
+  }
+
+  private Optional<PlacementDecision> decideNew(long nowNanos, SchedulerRequest request) {
     if (usableEndpoints.isEmpty()) {
       return Optional.of(reject(nowNanos, request, RejectionReason.NO_ENDPOINT));
     }
@@ -203,7 +231,9 @@
 
   /** Removes a request whose caller has left; returns whether it was queued. */
   public boolean cancel(SchedulerRequest request) {
-    return queue.remove(request);
+    boolean wasQueued = queue.remove(request);
+    aboveShare.remove(request.id());
+    return wasQueued;
   }
 
   /**
@@ -295,6 +325,7 @@
       Optional<PlacementDecision> decision = decideQueued(nowNanos, request);
       if (decision.isPresent()) {
         requests.remove();
+        aboveShare.remove(request.id());
         decisions.add(decision.get());
       }
     }
@@ -561,9 +592,12 @@
         serviceTimes.expectedNanos(request.rule(), warmProbability) * state.slowness(nowNanos);
     long roundTripNanos = roundTrips.roundTripNanos(state.endpoint().zone());
     double freeSlots = state.freeSlots(nowNanos);
+    double neededSlots = 1 + (isAboveShare(request) ? RESERVED_SLOTS_SHARE * state.slots() : 0);
     double slotWaitNanos =
-        (1 - freeSlots) * Math.max(serviceTimeNanos, meanServiceTimeNanos) / state.slots();
-    double waitNanos = freeSlots >= 1 ? 0 : slotWaitNanos + queueWaitNanos;
+        (neededSlots - freeSlots)
+            * Math.max(serviceTimeNanos, meanServiceTimeNanos)
+            / state.slots();
+    double waitNanos = freeSlots >= neededSlots ? 0 : slotWaitNanos + queueWaitNanos;
     double responseNanos = roundTripNanos + serviceTimeNanos * SERVICE_TIME_MARGIN;
     double finishNanos = nowNanos + waitNanos + responseNanos;
     double objectiveNanos = request.rule().latencyObjectiveMillis() * NANOS_PER_MILLI;
--- a/core/src/test/java/org/mustardstage/core/placement/LoadSimulation.java
+++ b/core/src/test/java/org/mustardstage/core/placement/LoadSimulation.java
@@ -38,6 +38,8 @@
 final class LoadSimulation {
   private static final ServiceName SERVICE = new ServiceName("replayed");
   private static final long QUEUE_POLL_NANOS = 5 * NANOS_PER_MILLI;
+  private static final int HOT_TENANT = 3;
+  static final TenantName HOT_TENANT_NAME = new TenantName("t-" + HOT_TENANT);
   private static final double WARM_SERVICE_TIME_SHARE = 0.3;
 
   /**
@@ -61,10 +63,10 @@
       RoutingRule rule, long serviceTimeNanos, double share, int affinityKeys, double weight) {}
 
   /**
-   * What differs from usual demand from the fifth second on.
+   * What differs from usual demand from the twentieth second on.
    *
    * @param demandFactor the factor on the demand
-   * @param tenants the number of tenants, from the fifth second and before; 0 for none
+   * @param tenants the number of tenants from the start; 0 for none
    * @param hotFactor the factor on the demand of one tenant, which is added to the others'
    * @param abusivePercent the percentage of callers that repeat a rejected request at once and
    *     often
@@ -79,7 +81,7 @@
       int slowEndpoints,
       double slowdown) {
     static final Disturbance NONE = new Disturbance(1, 0, 1, 0, 0, 1);
-    static final long FROM_NANOS = 5 * NANOS_PER_SECOND;
+    static final long FROM_NANOS = 20 * NANOS_PER_SECOND;
   }
 
   /** The capacities of each endpoint. */
@@ -160,7 +162,7 @@
     }
   }
 
-  /** Simulates {@code newDisturbance} from the fifth second on. */
+  /** Simulates {@code newDisturbance} from the twentieth second on. */
   LoadSimulation with(Disturbance newDisturbance) {
     disturbance = newDisturbance;
     return this;
@@ -177,23 +179,40 @@
     return slow ? disturbance.slowdown() : 1;
   }
 
-  /** Returns the tenant of a new request: shares fall with the rank, and the second may be hot. */
+  /** Returns the factor on the demand, to which a hot tenant adds its own. */
+  private double demandFactor() {
+    return (isDisturbed() ? disturbance.demandFactor() : 1)
+        + hotWeight() / tenantWeight(disturbance.tenants());
+  }
+
+  private double hotWeight() {
+    return isDisturbed() && disturbance.tenants() > 0
+        ? (disturbance.hotFactor() - 1) * weightOf(HOT_TENANT)
+        : 0;
+  }
+
+  private static double weightOf(int tenant) {
+    return 1.0 / (tenant + 1);
+  }
+
+  private static double tenantWeight(int tenants) {
+    double total = 0;
+    for (int i = 0; i < tenants; i++) {
+      total += weightOf(i);
+    }
+    return Math.max(1, total);
+  }
+
+  /** Returns the tenant of a new request. A few are large, and one of them may be hot. */
   private Optional<Tenant> drawTenant() {
     if (disturbance.tenants() == 0) {
       return Optional.empty();
     }
-    double hotWeight = (isDisturbed() ? disturbance.hotFactor() - 1 : 0) * 0.5;
-    double total = hotWeight;
-    for (int i = 0; i < disturbance.tenants(); i++) {
-      total += 1.0 / (i + 1);
-    }
-    double draw = random.nextDouble() * total - hotWeight;
-    int number = 1;
-    if (draw >= 0) {
-      number = 0;
-      for (; (draw -= 1.0 / (number + 1)) >= 0 && number < disturbance.tenants() - 1; ) {
-        number++;
-      }
+    double draw =
+        random.nextDouble() * (hotWeight() + tenantWeight(disturbance.tenants())) - hotWeight();
+    int number = draw < 0 ? HOT_TENANT : 0;
+    while (draw >= weightOf(number) && number < disturbance.tenants() - 1) {
+      draw -= weightOf(number++);
     }
     return Optional.of(
         new Tenant(new TenantName("t-" + number), OptionalInt.empty(), Set.of(), Optional.empty()));
@@ -303,9 +322,7 @@
     double gapNanos =
         -Math.log(1 - random.nextDouble())
             * 1e9
-            / (zoneLoad.requestsPerSecond()
-                * wave
-                * (isDisturbed() ? disturbance.demandFactor() : 1));
+            / (zoneLoad.requestsPerSecond() * wave * demandFactor());
     schedule(
         (long) gapNanos,
         () -> {
--- a/core/src/test/java/org/mustardstage/core/placement/LoadTally.java
+++ b/core/src/test/java/org/mustardstage/core/placement/LoadTally.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.mustardstage.core.id.RegionId;
+import org.mustardstage.core.placement.LoadSimulation.Disturbance;
 import org.mustardstage.core.placement.LoadSimulation.FakeRequest;
 
 /** Counts what became of the requests of a {@link LoadSimulation}. */
@@ -31,6 +32,7 @@
    * @param refusedShare the rejections by endpoints, as a share of all requests
    * @param inTime the shares of requests that met the objective, by rule
    * @param worstTenants the share of the tenth of the tenants with the lowest shares
+   * @param otherTenants the share of all tenants but the hot one while they are disturbed
    * @param worstRegion the share of the worst region
    * @param worstWindow the share of the worst two seconds
    */
@@ -44,6 +46,7 @@
       double refusedShare,
       Map<String, Double> inTime,
       double worstTenants,
+      double otherTenants,
       double worstRegion,
       double worstWindow) {
     @Override
@@ -51,7 +54,7 @@
       return String.format(
           Locale.ROOT,
           "success %.3f served %.3f warm %.3f queue %.1f ms shift %.3f refused %.4f in time %s"
-              + " worst tenants %.3f region %.3f window %.3f",
+              + " worst tenants %.3f others %.3f region %.3f window %.3f",
           weightedSuccessShare,
           servedShare,
           warmShare,
@@ -60,6 +63,7 @@
           refusedShare,
           inTime,
           worstTenants,
+          otherTenants,
           worstRegion,
           worstWindow);
     }
@@ -95,6 +99,10 @@
     found.add(count("region", request.region().value()));
     found.add(count("window", "" + request.arrivalNanos() / (2 * NANOS_PER_SECOND)));
     request.tenant().ifPresent(tenant -> found.add(count("tenant", tenant.name().value())));
+    if (request.arrivalNanos() >= Disturbance.FROM_NANOS && request.tenant().isPresent()) {
+      boolean hot = request.tenant().get().name().equals(LoadSimulation.HOT_TENANT_NAME);
+      found.add(count("disturbed", hot ? "hot" : "others"));
+    }
     return found;
   }
 
@@ -150,6 +158,7 @@
         refusals / (double) requestCount,
         byRule,
         worst("tenant", 0.1),
+        counts.getOrDefault("disturbed", Map.of()).getOrDefault("others", new Count()).share(),
         worst("region", 0),
         worst("window", 0));
   }
--- a/core/src/test/java/org/mustardstage/core/placement/UnevenLoadTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/UnevenLoadTest.java
@@ -58,4 +58,13 @@
       assertThat(result.toString(), result.refusedShare(), lessThan(0.005));
     }
   }
+
+  /** A tenant that sends 7.5 times its usual, in a burst of all, must not push out the others. */
+  @Test
+  void hotTenantTakesLittleFromOthers() {
+    Summary burst = lists(new Disturbance(1.5, 73, 1, 0, 0, 1)).run(48);
+    Summary hot = lists(new Disturbance(1.5, 73, 7.5, 0, 0, 1)).run(48);
+
+    assertThat(hot.toString(), hot.otherTenants(), greaterThan(burst.otherTenants() - 0.08));
+  }
 }
