Hold no request past its caller's deadline, and send none that would end after it

Cause: a queued request was held until its latency objective, also when its caller stopped waiting earlier; one that had missed the objective was sent to any free slot, also when its response could only come after the deadline; requests behind the first 64 of the queue were not looked at. Change: a request is held until the earlier of both; one that waited follows the same rule as a new one (late only if before the deadline); overdue requests behind the first 64 are rejected. Tests: both new tests of ServiceSchedulerTest fail without the change. PlacementSimulationTest and UnevenLoadTest pass.

--- a/core/src/main/java/org/mustardstage/core/placement/SchedulerRequest.java
+++ b/core/src/main/java/org/mustardstage/core/placement/SchedulerRequest.java
@@ -45,6 +45,14 @@
         .orElse(rule.priority());
   }
 
+  /**
+   * Returns until when it is worth to hold the request for a response: the end of the latency
+   * objective, or the caller's deadline if that is earlier.
+   */
+  public long holdDeadlineNanos() {
+    return deadlineNanos - objectiveDeadlineNanos < 0 ? deadlineNanos : objectiveDeadlineNanos;
+  }
+
   /** Returns whether both the rule and the tenant allow {@code region} to serve the request. */
   public boolean allowsRegion(RegionId region) {
     return rule.allowsRegion(region) && tenant.map(t -> t.allowsRegion(region)).orElse(true);
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -43,7 +43,10 @@
   /** Cost of a response after the latency objective, as a share of the objective. */
   private static final double LATE_COST = 0.5;
 
-  /** Number of queued requests that one pass examines; those behind them get no slot in it. */
+  /**
+   * Number of queued requests for which one pass looks for a slot; those behind them are only
+   * rejected when they are overdue.
+   */
   private static final int MAX_EXAMINED_REQUESTS = 64;
 
   /** A few times the interval in which queued requests are reconsidered, so that none misses it. */
@@ -199,7 +202,7 @@
       return Optional.of(reject(nowNanos, request, RejectionReason.NO_ENDPOINT));
     }
     Candidate best = choice.best().get();
-    if (nowNanos + best.waitNanos() + best.responseNanos() > request.objectiveDeadlineNanos()) {
+    if (nowNanos + best.waitNanos() + best.responseNanos() > request.holdDeadlineNanos()) {
       return Optional.of(placeLateOrReject(nowNanos, request, choice));
     }
     queue.add(request);
@@ -318,11 +321,13 @@
   public List<PlacementDecision> processQueue(long nowNanos) {
     List<PlacementDecision> decisions = new ArrayList<>();
     int examined = 0;
-    for (Iterator<SchedulerRequest> requests = queue.iterator();
-        requests.hasNext() && examined < MAX_EXAMINED_REQUESTS; ) {
+    for (Iterator<SchedulerRequest> requests = queue.iterator(); requests.hasNext(); ) {
       SchedulerRequest request = requests.next();
+      Optional<PlacementDecision> decision =
+          examined < MAX_EXAMINED_REQUESTS
+              ? decideQueued(nowNanos, request)
+              : rejectOverdue(nowNanos, request);
       examined++;
-      Optional<PlacementDecision> decision = decideQueued(nowNanos, request);
       if (decision.isPresent()) {
         requests.remove();
         aboveShare.remove(request.id());
@@ -332,6 +337,12 @@
     return decisions;
   }
 
+  private Optional<PlacementDecision> rejectOverdue(long nowNanos, SchedulerRequest request) {
+    return nowNanos - request.holdDeadlineNanos() >= 0
+        ? Optional.of(reject(nowNanos, request, RejectionReason.NO_SLOT_IN_TIME))
+        : Optional.empty();
+  }
+
   private Optional<PlacementDecision> decideQueued(long nowNanos, SchedulerRequest request) {
     Choice choice = choose(nowNanos, request, 0);
     if (choice.placeableNow().isPresent()) {
@@ -345,11 +356,8 @@
     if (lastInTime.isPresent()) {
       return Optional.of(place(nowNanos, request, lastInTime.get()));
     }
-    if (nowNanos + choice.best().get().responseNanos() > request.objectiveDeadlineNanos()) {
-      return choice
-          .bestFree()
-          .map(free -> Optional.of(place(nowNanos, request, free)))
-          .orElseGet(() -> Optional.of(reject(nowNanos, request, RejectionReason.NO_SLOT_IN_TIME)));
+    if (nowNanos + choice.best().get().responseNanos() > request.holdDeadlineNanos()) {
+      return Optional.of(placeLateOrReject(nowNanos, request, choice));
     }
     return Optional.empty();
   }
@@ -365,8 +373,7 @@
         .bestFree()
         .filter(
             free -> {
-              double spareNanos =
-                  request.objectiveDeadlineNanos() - nowNanos - free.responseNanos();
+              double spareNanos = request.holdDeadlineNanos() - nowNanos - free.responseNanos();
               return spareNanos >= 0 && spareNanos < LAST_CHANCE_NANOS;
             });
   }
--- a/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/ServiceSchedulerTest.java
@@ -230,6 +230,43 @@
     assertThat(scheduler.queueLength(), is(0));
   }
 
+  /** The caller of a request may wait for less time than the objective allows. */
+  @Test
+  void queuedRequestIsNotHeldPastDeadlineOfItsCaller() {
+    trainServiceTime(100 * NANOS_PER_MILLI);
+    fillSlots(2);
+    SchedulerRequest request = newRequest(READ, "x");
+    long deadlineNanos = nowNanos + 250 * NANOS_PER_MILLI;
+    SchedulerRequest impatient =
+        new SchedulerRequest(
+            request.id(),
+            READ,
+            Optional.empty(),
+            request.affinityKey(),
+            nowNanos,
+            request.objectiveDeadlineNanos(),
+            deadlineNanos,
+            Set.of());
+    assertThat(scheduler.placeOrEnqueue(nowNanos, impatient).isEmpty(), is(true));
+
+    nowNanos = deadlineNanos - 50 * NANOS_PER_MILLI;
+    assertThat(scheduler.processQueue(nowNanos), hasSize(1));
+  }
+
+  @Test
+  void requestsFarBackInQueueAreRejectedWhenOverdue() {
+    trainServiceTime(NANOS_PER_MILLI);
+    fillSlots(2);
+    for (int i = 0; i < 70; i++) {
+      scheduler.placeOrEnqueue(nowNanos, newRequest(READ, "x"));
+    }
+    assertThat(scheduler.queueLength(), greaterThan(64));
+
+    nowNanos += 501 * NANOS_PER_MILLI;
+    scheduler.processQueue(nowNanos);
+    assertThat(scheduler.queueLength(), is(0));
+  }
+
   @Test
   void runningRequestsNeverExceedSlots() {
     trainServiceTime(100 * NANOS_PER_MILLI);
