Split ServiceScheduler: EndpointChooser, ServiceEstimates and Candidate

What an endpoint costs and which is chosen moves to EndpointChooser, what responses say to ServiceEstimates; the queue and its rules stay. The cold response time of a candidate, which nothing uses any more, is no longer computed. No other change of behaviour: PlacementSimulationTest, UnevenLoadTest and ServiceSchedulerTest pass unchanged.

--- a/core/src/main/java/org/mustardstage/core/placement/RoundTripEstimates.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RoundTripEstimates.java
@@ -56,4 +56,14 @@
   public RegionId regionOf(ZoneId zone) {
     return regionByZone.getOrDefault(zone, ownRegion);
   }
+
+  /** Returns the region of an endpoint. */
+  RegionId regionOf(EndpointState state) {
+    return regionOf(state.endpoint().zone());
+  }
+
+  /** Returns whether an endpoint is in the VM's region. */
+  boolean isInOwnRegion(EndpointState state) {
+    return proximityOf(state.endpoint().zone()) != Proximity.OTHER_REGION;
+  }
 }
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -18,8 +18,6 @@
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.gateway.ServiceSpec;
 import org.mustardstage.core.id.EndpointId;
-import org.mustardstage.core.id.RegionId;
-import org.mustardstage.core.route.Proximity;
 
 /**
  * Places the requests of one service on its endpoints.
@@ -34,15 +32,6 @@
  * rejected immediately.
  */
 public final class ServiceScheduler {
-  /** Factor on the expected service time that most requests stay within. */
-  private static final double SERVICE_TIME_MARGIN = 1.1;
-
-  /** Cost of each rank in the rendezvous order of a key, as a share of the service time. */
-  private static final double RANK_COST = 0.5;
-
-  /** Cost of a response after the latency objective, as a share of the objective. */
-  private static final double LATE_COST = 0.5;
-
   /**
    * Number of queued requests for which one pass looks for a slot; those behind them are only
    * rejected when they are overdue.
@@ -60,9 +49,6 @@
   /** Lower end of the jitter that spreads the retries of callers rejected at the same time. */
   private static final double MIN_RETRY_SPREAD = 0.75;
 
-  /** Free slots of an endpoint that tenants above their share leave to others, as a share. */
-  private static final double RESERVED_SLOTS_SHARE = 0.25;
-
   private final Comparator<SchedulerRequest> byPriority =
       Comparator.<SchedulerRequest>comparingInt(SchedulerRequest::priority)
           .thenComparing(this::isAboveShare)
@@ -75,8 +61,8 @@
   private final RoundTripEstimates roundTrips;
   private final RegionShiftLimiter regionShiftLimiter;
   private final EndpointLimits endpointLimits;
-  private final ServiceTimeEstimates serviceTimes = new ServiceTimeEstimates();
-  private final WarmProbability warmProbabilityByRegion = new WarmProbability();
+  private final ServiceEstimates estimates;
+  private final EndpointChooser chooser;
   private final Map<EndpointId, EndpointState> endpoints = new HashMap<>();
   private final NavigableSet<SchedulerRequest> queue = new TreeSet<>(byPriority);
   private final TenantShares tenantShares = new TenantShares();
@@ -84,14 +70,11 @@
   /** The ids of queued requests whose tenants ask for more than their share. */
   private final Set<Long> aboveShare = new HashSet<>();
 
-  private final RendezvousOrder rendezvousOrder;
   private final QueueWaitEstimate queueWaitEstimate = new QueueWaitEstimate();
   private PlacementSettings settings;
   private ServiceSpec spec;
   private ImmutableList<EndpointState> usableEndpoints = ImmutableList.of();
   private int ownRegionSlots;
-  private Predicate<RegisteredEndpoint> coldEndpointFilter = endpoint -> true;
-  private double meanServiceTimeNanos;
 
   /**
    * Creates a scheduler without endpoints.
@@ -110,12 +93,15 @@
     this.roundTrips = roundTrips;
     this.regionShiftLimiter = regionShiftLimiter;
     this.endpointLimits = endpointLimits;
-    this.rendezvousOrder = new RendezvousOrder(roundTrips);
+    this.estimates = new ServiceEstimates(roundTrips);
+    this.chooser =
+        new EndpointChooser(settings, roundTrips, regionShiftLimiter, endpointLimits, estimates);
   }
 
   /** Replaces the settings. */
   public void setSettings(PlacementSettings newSettings) {
     settings = newSettings;
+    chooser.setSettings(newSettings);
   }
 
   /** Replaces the declaration of the service. */
@@ -128,7 +114,7 @@
    * of the schedulers that share it should.
    */
   public void setColdEndpointFilter(Predicate<RegisteredEndpoint> filter) {
-    coldEndpointFilter = filter;
+    chooser.setColdEndpointFilter(filter);
   }
 
   /**
@@ -158,13 +144,16 @@
     endpoints.putAll(newStates);
     usableEndpoints = ImmutableList.sortedCopyOf(BY_ID, newStates.values());
     ownRegionSlots =
-        usableEndpoints.stream().filter(this::isInOwnRegion).mapToInt(EndpointState::slots).sum();
-    rendezvousOrder.setEndpoints(usableEndpoints);
+        usableEndpoints.stream()
+            .filter(roundTrips::isInOwnRegion)
+            .mapToInt(EndpointState::slots)
+            .sum();
+    chooser.setEndpoints(usableEndpoints);
   }
 
   private int warmSlotsInOwnRegion(long nowNanos, Collection<EndpointState> states) {
     return states.stream()
-        .filter(state -> isInOwnRegion(state) && !state.isCold(nowNanos))
+        .filter(state -> roundTrips.isInOwnRegion(state) && !state.isCold(nowNanos))
         .mapToInt(EndpointState::slots)
         .sum();
   }
@@ -194,7 +183,8 @@
     if (usableEndpoints.isEmpty()) {
       return Optional.of(reject(nowNanos, request, RejectionReason.NO_ENDPOINT));
     }
-    Choice choice = choose(nowNanos, request, queueWaitNanos(nowNanos, request));
+    EndpointChooser.Choice choice =
+        chooser.choose(nowNanos, request, isAboveShare(request), queueWaitNanos(nowNanos, request));
     if (choice.placeableNow().isPresent()) {
       return Optional.of(place(nowNanos, request, choice.placeableNow().get()));
     }
@@ -219,7 +209,7 @@
     double aheadNanos =
         ahead
             * settings.schedulerCount()
-            * meanServiceTimeNanos
+            * estimates.meanServiceTimeNanos()
             / Math.max(1, slotsInOwnRegion(request));
     return Math.max(aheadNanos, queueWaitEstimate.estimateNanos(nowNanos));
   }
@@ -228,10 +218,6 @@
     return request.allowsRegion(roundTrips.ownRegion()) ? ownRegionSlots : 0;
   }
 
-  private boolean isInOwnRegion(EndpointState state) {
-    return roundTrips.proximityOf(state.endpoint().zone()) != Proximity.OTHER_REGION;
-  }
-
   /** Removes a request whose caller has left; returns whether it was queued. */
   public boolean cancel(SchedulerRequest request) {
     boolean wasQueued = queue.remove(request);
@@ -252,10 +238,11 @@
     int slotsBefore = state.slots();
     result
         .loadReport()
-        .ifPresent(report -> state.recordLoadReport(nowNanos, report, meanServiceTimeNanos));
-    ownRegionSlots += isInOwnRegion(state) ? state.slots() - slotsBefore : 0;
+        .ifPresent(
+            report -> state.recordLoadReport(nowNanos, report, estimates.meanServiceTimeNanos()));
+    ownRegionSlots += roundTrips.isInOwnRegion(state) ? state.slots() - slotsBefore : 0;
     if (result.status() == AttemptResult.Status.ANSWERED) {
-      updateEstimates(nowNanos, placed, state, result);
+      estimates.recordResponse(nowNanos, placed, state, result);
     } else if (result.status() == AttemptResult.Status.SILENT) {
       state.recordServiceTime(
           nowNanos, (double) result.elapsedNanos(), (double) placed.expectedResponseNanos());
@@ -263,7 +250,7 @@
     boolean accepted = state.acceptsRequests(nowNanos);
     boolean recovered = state.circuitBreaker().recordResult(nowNanos, result.status());
     state.recordNotice(nowNanos, result.notice());
-    if (accepted && isInOwnRegion(state) && !state.acceptsRequests(nowNanos)) {
+    if (accepted && roundTrips.isInOwnRegion(state) && !state.acceptsRequests(nowNanos)) {
       regionShiftLimiter.allowFailover(nowNanos);
     }
     if (recovered) {
@@ -274,41 +261,6 @@
     }
   }
 
-  /**
-   * Updates the estimates from a response. If requests are queued at the endpoint, only records the
-   * key as warm, because the elapsed time then includes an unknown time in that queue.
-   */
-  private void updateEstimates(
-      long nowNanos, PlacementDecision.Placed placed, EndpointState state, AttemptResult result) {
-    long roundTripNanos = roundTrips.roundTripNanos(state.endpoint().zone());
-    long serviceTimeNanos = Math.max(1, result.elapsedNanos() - roundTripNanos);
-    SchedulerRequest request = placed.request();
-    request.affinityKey().ifPresent(key -> state.warmKeys().recordRequest(nowNanos, key));
-    if (result.loadReport().filter(report -> report.queued() > 0).isPresent()) {
-      return;
-    }
-    if (!state.isCold(nowNanos)) {
-      boolean ranWarm =
-          serviceTimes.addSample(
-              request.rule(),
-              placed.warmProbability() >= 0.5,
-              (long) (serviceTimeNanos / state.slowness(nowNanos)));
-      if (placed.warmProbability() < 1) {
-        warmProbabilityByRegion.addSample(regionOf(state), ranWarm);
-      }
-      meanServiceTimeNanos =
-          meanServiceTimeNanos == 0
-              ? serviceTimeNanos
-              : meanServiceTimeNanos + 0.05 * (serviceTimeNanos - meanServiceTimeNanos);
-    }
-    state.recordServiceTime(
-        nowNanos,
-        (double) serviceTimeNanos,
-        serviceTimes.expectedNanos(request.rule(), placed.warmProbability())
-            * state.slowness(nowNanos));
-    request.affinityKey().ifPresent(key -> state.warmKeys().recordRequest(nowNanos, key));
-  }
-
   /**
    * Closes the circuits of all endpoints, as their failures were those of this VM's own links. The
    * endpoints have not restarted, so they aren't cold.
@@ -344,7 +296,7 @@
   }
 
   private Optional<PlacementDecision> decideQueued(long nowNanos, SchedulerRequest request) {
-    Choice choice = choose(nowNanos, request, 0);
+    EndpointChooser.Choice choice = chooser.choose(nowNanos, request, isAboveShare(request), 0);
     if (choice.placeableNow().isPresent()) {
       queueWaitEstimate.addSample(nowNanos, nowNanos - request.arrivalNanos());
       return Optional.of(place(nowNanos, request, choice.placeableNow().get()));
@@ -368,7 +320,7 @@
    * warm, must not wait until only late responses are left.
    */
   private static Optional<Candidate> lastInTime(
-      long nowNanos, SchedulerRequest request, Choice choice) {
+      long nowNanos, SchedulerRequest request, EndpointChooser.Choice choice) {
     return choice
         .bestFree()
         .filter(
@@ -383,7 +335,7 @@
    * late response is better than none, but not worth a slot that another request could use.
    */
   private PlacementDecision placeLateOrReject(
-      long nowNanos, SchedulerRequest request, Choice choice) {
+      long nowNanos, SchedulerRequest request, EndpointChooser.Choice choice) {
     Optional<Candidate> free =
         choice.bestFree().filter(c -> nowNanos + c.responseNanos() <= request.deadlineNanos());
     return free.isPresent()
@@ -424,17 +376,13 @@
   private long restMillis(long nowNanos, SchedulerRequest request) {
     long restNanos =
         usableEndpoints.stream()
-            .filter(state -> request.allowsRegion(regionOf(state)))
+            .filter(state -> request.allowsRegion(roundTrips.regionOf(state)))
             .mapToLong(state -> Math.max(0, state.restUntilNanos() - nowNanos))
             .min()
             .orElse(0);
     return (long) Math.ceil(restNanos / NANOS_PER_MILLI);
   }
 
-  private RegionId regionOf(EndpointState state) {
-    return roundTrips.regionOf(state.endpoint().zone());
-  }
-
   /**
    * Returns the delay after which a rejected caller should retry, which is the estimated time to
    * serve the current queue, with jitter.
@@ -443,10 +391,11 @@
     double queueWaitNanos =
         (queue.size() + 1)
             * settings.schedulerCount()
-            * meanServiceTimeNanos
+            * estimates.meanServiceTimeNanos()
             / Math.max(1, slotsInOwnRegion(request));
     double spread = MIN_RETRY_SPREAD + jitter(request);
-    double millis = (meanServiceTimeNanos / 2 + queueWaitNanos) * spread / NANOS_PER_MILLI;
+    double millis =
+        (estimates.meanServiceTimeNanos() / 2 + queueWaitNanos) * spread / NANOS_PER_MILLI;
     return (long) Math.clamp(millis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
   }
 
@@ -455,215 +404,4 @@
     double mixed = (double) ((request.id() * 0x9E3779B97F4A7C15L) >>> 40);
     return mixed / (1 << 25);
   }
-
-  /**
-   * An endpoint that may serve a request, with the expected times and the cost.
-   *
-   * @param otherRegion the endpoint's region if it is another one than the VM's
-   * @param warmProbability the probability, from 0 to 1, that the affinity key is warm there
-   * @param waitNanos the expected wait for a slot; 0 if one is free
-   * @param responseNanos the expected time to a response once a slot is free
-   * @param coldResponseNanos the same if the affinity key turns out to be cold there
-   * @param cost the expected time to a response plus penalties; the lowest cost is chosen
-   */
-  private record Candidate(
-      EndpointState state,
-      Optional<RegionId> otherRegion,
-      double warmProbability,
-      double waitNanos,
-      double responseNanos,
-      double coldResponseNanos,
-      double cost) {
-    boolean hasFreeSlot() {
-      return waitNanos == 0;
-    }
-  }
-
-  /**
-   * The best candidates for a request.
-   *
-   * @param best the cheapest candidate that the limit on region shifts allows
-   * @param bestFree the cheapest of those that also have a free slot
-   */
-  private record Choice(Optional<Candidate> best, Optional<Candidate> bestFree) {
-    Optional<Candidate> placeableNow() {
-      return best.filter(Candidate::hasFreeSlot);
-    }
-  }
-
-  /**
-   * Returns the best candidates for a request. In each region, an affinity key stays at its
-   * highest-ranked endpoint, because a request for a cold key takes several times as long and
-   * evicts warm keys. The next endpoint of the region is considered only while the first may not be
-   * used.
-   */
-  private Choice choose(long nowNanos, SchedulerRequest request, double queueWaitNanos) {
-    List<Candidate> candidates = candidates(nowNanos, request, queueWaitNanos);
-    Optional<Candidate> required = requiredRegionCandidate(nowNanos, request, candidates);
-    if (required.isPresent()) {
-      return new Choice(required, required);
-    }
-    boolean hasOwnRegionCandidate = candidates.stream().anyMatch(c -> c.otherRegion().isEmpty());
-    Predicate<Candidate> allowed =
-        c ->
-            !hasOwnRegionCandidate
-                || c.otherRegion()
-                    .map(other -> regionShiftLimiter.allows(nowNanos, other))
-                    .orElse(true);
-    return new Choice(
-        cheapest(candidates, allowed), cheapest(candidates, allowed.and(Candidate::hasFreeSlot)));
-  }
-
-  /**
-   * Returns a candidate in the region that must receive the next request to keep the limit on
-   * region shifts, if it has a free slot and is expected to meet the objective.
-   */
-  private Optional<Candidate> requiredRegionCandidate(
-      long nowNanos, SchedulerRequest request, List<Candidate> candidates) {
-    Optional<RegionId> required = regionShiftLimiter.requiredRegion(nowNanos);
-    if (required.isEmpty()) {
-      return Optional.empty();
-    }
-    return cheapest(
-        candidates,
-        c ->
-            c.otherRegion().equals(required)
-                && c.hasFreeSlot()
-                && nowNanos + c.responseNanos() <= request.objectiveDeadlineNanos());
-  }
-
-  private static Optional<Candidate> cheapest(
-      List<Candidate> candidates, Predicate<Candidate> predicate) {
-    return candidates.stream().filter(predicate).min(Comparator.comparingDouble(Candidate::cost));
-  }
-
-  /**
-   * Returns the highest-ranked eligible endpoint of each region, or all eligible endpoints if the
-   * request has no affinity key.
-   */
-  private List<Candidate> candidates(
-      long nowNanos, SchedulerRequest request, double queueWaitNanos) {
-    List<Candidate> candidates = new ArrayList<>();
-    if (request.affinityKey().isEmpty()) {
-      for (EndpointState state : usableEndpoints) {
-        if (isEligible(nowNanos, request, state)) {
-          candidates.add(candidate(nowNanos, request, state, Rank.FIRST, queueWaitNanos));
-        }
-      }
-      return candidates;
-    }
-    ImmutableList<ImmutableList<EndpointState>> orders =
-        rendezvousOrder.rankByRegion(request.affinityKey().get());
-    int remoteRegionRank = 0;
-    for (ImmutableList<EndpointState> order : orders) {
-      boolean inOwnRegion = isInOwnRegion(order.getFirst());
-      for (int endpointRank = 0; endpointRank < order.size(); endpointRank++) {
-        EndpointState state = order.get(endpointRank);
-        if (isEligible(nowNanos, request, state)) {
-          candidates.add(
-              candidate(
-                  nowNanos,
-                  request,
-                  state,
-                  new Rank(endpointRank, inOwnRegion ? 0 : remoteRegionRank),
-                  queueWaitNanos));
-          break;
-        }
-      }
-      remoteRegionRank += inOwnRegion ? 0 : 1;
-    }
-    return candidates;
-  }
-
-  private boolean isEligible(long nowNanos, SchedulerRequest request, EndpointState state) {
-    if (request.excludedEndpoints().contains(state.endpoint().id())
-        || !state.acceptsRequests(nowNanos)
-        || !endpointLimits.allowsRequest(nowNanos, state.endpoint())) {
-      return false;
-    }
-    if (!request.allowsRegion(regionOf(state))) {
-      return false;
-    }
-    return !state.isCold(nowNanos)
-        || (coldEndpointFilter.test(state.endpoint()) && state.allowsColdRequest(nowNanos));
-  }
-
-  private Candidate candidate(
-      long nowNanos,
-      SchedulerRequest request,
-      EndpointState state,
-      Rank rank,
-      double queueWaitNanos) {
-    double warmProbability = warmProbability(nowNanos, request, state, rank);
-    double serviceTimeNanos =
-        serviceTimes.expectedNanos(request.rule(), warmProbability) * state.slowness(nowNanos);
-    long roundTripNanos = roundTrips.roundTripNanos(state.endpoint().zone());
-    double freeSlots = state.freeSlots(nowNanos);
-    double neededSlots = 1 + (isAboveShare(request) ? RESERVED_SLOTS_SHARE * state.slots() : 0);
-    double slotWaitNanos =
-        (neededSlots - freeSlots)
-            * Math.max(serviceTimeNanos, meanServiceTimeNanos)
-            / state.slots();
-    double waitNanos = freeSlots >= neededSlots ? 0 : slotWaitNanos + queueWaitNanos;
-    double responseNanos = roundTripNanos + serviceTimeNanos * SERVICE_TIME_MARGIN;
-    double finishNanos = nowNanos + waitNanos + responseNanos;
-    double objectiveNanos = request.rule().latencyObjectiveMillis() * NANOS_PER_MILLI;
-    double cost =
-        waitNanos
-            + roundTripNanos
-            + serviceTimeNanos
-            + distanceCost(state)
-            + (rank.endpointRank() + rank.remoteRegionRank()) * RANK_COST * serviceTimeNanos
-            + state.circuitBreaker().failureRate() * objectiveNanos
-            + (finishNanos > request.objectiveDeadlineNanos() ? LATE_COST * objectiveNanos : 0);
-    double coldResponseNanos =
-        warmProbability == 1
-            ? responseNanos
-            : roundTripNanos
-                + serviceTimes.expectedNanos(request.rule(), 0)
-                    * state.slowness(nowNanos)
-                    * SERVICE_TIME_MARGIN;
-    return new Candidate(
-        state,
-        otherRegionOf(state),
-        warmProbability,
-        waitNanos,
-        responseNanos,
-        coldResponseNanos,
-        cost);
-  }
-
-  private double warmProbability(
-      long nowNanos, SchedulerRequest request, EndpointState state, Rank rank) {
-    if (request.affinityKey().isEmpty()
-        || state.warmKeys().contains(nowNanos, request.affinityKey().get())) {
-      return 1;
-    }
-    boolean othersMayHaveWarmedKey = rank.endpointRank() == 0 && state.hasFilledCache(nowNanos);
-    return othersMayHaveWarmedKey ? warmProbabilityByRegion.inRegion(regionOf(state)) : 0;
-  }
-
-  private Optional<RegionId> otherRegionOf(EndpointState state) {
-    return isInOwnRegion(state) ? Optional.empty() : Optional.of(regionOf(state));
-  }
-
-  private double distanceCost(EndpointState state) {
-    return switch (roundTrips.proximityOf(state.endpoint().zone())) {
-      case OWN_ZONE -> 0;
-      case OWN_REGION -> settings.otherZonePenaltyNanos();
-      case OTHER_REGION -> settings.otherRegionPenaltyNanos();
-    };
-  }
-
-  /**
-   * The rank of an endpoint in the rendezvous order of an affinity key.
-   *
-   * @param endpointRank the rank among the endpoints of its region, from 0; the first one handles
-   *     the key for the callers of the region, so the key is probably warm there
-   * @param remoteRegionRank the number of other regions that are preferred to this one, so that the
-   *     key is warmed up in as few regions as possible; 0 for the own region
-   */
-  private record Rank(int endpointRank, int remoteRegionRank) {
-    private static final Rank FIRST = new Rank(0, 0);
-  }
 }
