--- a/core/src/main/java/org/mustardstage/core/member/PeerRelease.java
+++ b/core/src/main/java/org/mustardstage/core/member/PeerRelease.java
@@ -14,6 +14,9 @@
   /** VMs know tenants, and take the hash of a caller's API key with a relayed request. */
   public static final int API_KEYS = 3;
 
+  /** VMs hand out the quotas of tenants. */
+  public static final int TENANT_QUOTAS = 3;
+
   /** VMs say which release they speak. */
   public static final int CURRENT = 3;
 
--- a/core/src/main/java/org/mustardstage/core/tenant/KeyLifetime.java
+++ b/core/src/main/java/org/mustardstage/core/tenant/KeyLifetime.java
@@ -12,29 +12,34 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final OptionalLong lifetimeMillis;
-  private volatile long currentNanos;
+  private volatile OptionalLong newsNanos = OptionalLong.empty();
 
   /**
-   * Creates a lifetime that starts now.
+   * Creates a lifetime that has not begun: without news, no key is accepted, as what a VM that has
+   * just started hears from others may be old.
    *
-   * @param lifetimeMillis how long the last known keys are accepted; empty if without end
+   * @param lifetimeMillis how long the last known keys are accepted; empty if without end, also
+   *     before the first news
    */
-  public KeyLifetime(OptionalLong lifetimeMillis, long nowNanos) {
+  public KeyLifetime(OptionalLong lifetimeMillis) {
     Preconditions.checkArgument(
         lifetimeMillis.orElse(1) > 0, "lifetime of keys must be positive: %s", lifetimeMillis);
     this.lifetimeMillis = lifetimeMillis;
-    this.currentNanos = nowNanos;
   }
 
   /** Records that the configuration was the newest one of the store at {@code nowNanos}. */
   public void recordCurrent(long nowNanos) {
-    currentNanos = nowNanos;
+    newsNanos = OptionalLong.of(nowNanos);
   }
 
   /** Returns whether the known keys may still be accepted. */
   public boolean acceptsKeys(long nowNanos) {
-    return lifetimeMillis.isEmpty()
-        || nowNanos - currentNanos <= lifetimeMillis.getAsLong() * NANOS_PER_MILLI;
+    if (lifetimeMillis.isEmpty()) {
+      return true;
+    }
+    OptionalLong news = newsNanos;
+    return news.isPresent()
+        && nowNanos - news.getAsLong() <= lifetimeMillis.getAsLong() * NANOS_PER_MILLI;
   }
 
   /**
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServices.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServices.java
@@ -11,6 +11,8 @@
  * @param linkMonitor knows whether this VM reaches any endpoint
  * @param relayNetwork relays requests to other VMs
  * @param crashGuard rejects requests that have ended several endpoints
+ * @param quotas gives the attempts of tenants their permits
+ * @param largeResponses the room for large responses
  * @param headerNames the headers that callers and endpoints use
  */
 record GatewayServices(
@@ -20,4 +22,6 @@
     EndpointLinkMonitor linkMonitor,
     RelayNetwork relayNetwork,
     CrashGuard crashGuard,
+    QuotaGate quotas,
+    LargeResponses largeResponses,
     HeaderNames headerNames) {}
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -17,11 +17,13 @@
 import java.util.function.Supplier;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.id.ServiceName;
+import org.mustardstage.core.transfer.TransferBudget;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
 import org.mustardstage.entry.traffic.CallerConnection;
 import org.mustardstage.entry.traffic.CallerConnections;
 import org.mustardstage.entry.traffic.Headers;
+import org.mustardstage.entry.traffic.ResponseBodyStream;
 
 /**
  * Responds to each request of a caller with the response of an endpoint, or with an error reason.
@@ -85,7 +87,7 @@
     Either<RequestReader.Problem, RequestReader.Head> head =
         reader.read(httpRequest, activeConfig.get(), nowNanos, services.relayNetwork()::isVm);
     if (head.isLeft()) {
-      return reject(httpRequest, head.getLeft());
+      return reject(httpRequest, head.getLeft(), activeConfig.get());
     }
     ServiceName service = serviceSelector.select(head.get().rule());
     CallerConnection connection = CallerConnections.of(httpRequest);
@@ -119,7 +121,7 @@
                       head.get().arrivalNanos(),
                       head.get().deadlineNanos(),
                       head.get().relay());
-              return execute(request, connection, activeConfig.get())
+              return begin(request, connection, activeConfig.get())
                   .whenComplete((response, e) -> body.release());
             })
         .whenComplete((response, e) -> inFlight--);
@@ -132,16 +134,44 @@
     };
   }
 
-  private Promise<HttpResponse> execute(
+  /** Executes the request, if there is room for its response. */
+  private Promise<HttpResponse> begin(
       CallerRequest request, CallerConnection connection, GatewayConfig activeConfig) {
-    RequestExecution execution = new RequestExecution(services, request, activeConfig.version());
+    if (!request.rule().largeResponses()) {
+      return execute(request, Optional.empty(), connection, activeConfig);
+    }
+    Either<RequestOutcome.NotRun, TransferBudget<String>.Transfer> transfer =
+        services.largeResponses().begin(request);
+    if (transfer.isLeft()) {
+      metrics.recordOutcome(
+          request.rule(),
+          request.tenant(),
+          transfer.getLeft(),
+          System.nanoTime() - request.arrivalNanos());
+      return Promise.of(respond(request, transfer.getLeft(), connection));
+    }
+    return execute(request, Optional.of(transfer.get()), connection, activeConfig);
+  }
+
+  private Promise<HttpResponse> execute(
+      CallerRequest request,
+      Optional<TransferBudget<String>.Transfer> transfer,
+      CallerConnection connection,
+      GatewayConfig activeConfig) {
+    RequestExecution execution =
+        new RequestExecution(services, request, transfer, activeConfig.version());
     connection.setDisconnectHandler(execution::onCallerDisconnected);
     return execution
         .start()
         .map(
             outcome -> {
               log(request, activeConfig, execution, outcome);
-              return respond(request, outcome);
+              return respond(
+                  request,
+                  transfer
+                      .map(room -> services.largeResponses().track(request, outcome, room))
+                      .orElse(outcome),
+                  connection);
             });
   }
 
@@ -151,7 +181,8 @@
       RequestExecution execution,
       RequestOutcome outcome) {
     long nowNanos = System.nanoTime();
-    metrics.recordOutcome(request.rule(), outcome, nowNanos - request.arrivalNanos());
+    metrics.recordOutcome(
+        request.rule(), request.tenant(), outcome, nowNanos - request.arrivalNanos());
     if (execution.lostAttempts() > 0) {
       EventLog.log(
           Event.ATTEMPTS_LOST,
@@ -198,10 +229,11 @@
     };
   }
 
-  private HttpResponse respond(CallerRequest request, RequestOutcome outcome) {
+  private HttpResponse respond(
+      CallerRequest request, RequestOutcome outcome, CallerConnection connection) {
     return switch (outcome) {
       case RequestOutcome.Responded responded ->
-          forward(responded.response(), request.relay().isPresent());
+          forward(responded.response(), request.relay().isPresent(), connection);
       case RequestOutcome.NotRun notRun -> notRun(notRun.reason(), notRun.retryAfterMillis());
       case RequestOutcome.Unknown unknown ->
           failure(unknown.cause().status(), unknown.cause().name());
@@ -214,7 +246,8 @@
    * Returns the response of an endpoint to a caller, or to the VM that relayed the request. What an
    * endpoint says of itself is not for that VM, which does not know which endpoint it was.
    */
-  private HttpResponse forward(EndpointResponse endpointResponse, boolean toVm) {
+  private HttpResponse forward(
+      EndpointResponse endpointResponse, boolean toVm, CallerConnection connection) {
     HttpResponse.Builder response = HttpResponse.ofCode(endpointResponse.status());
     for (HeaderList.Line line : endpointResponse.headers().lines()) {
       HttpHeader header = HttpHeaders.of(line.name());
@@ -226,7 +259,15 @@
         response.withHeader(header, line.value());
       }
     }
-    return response.withBody(endpointResponse.body()).build();
+    if (endpointResponse.stream().isEmpty()) {
+      return response.withBody(endpointResponse.body()).build();
+    }
+    StreamedBody body = endpointResponse.stream().get();
+    services.largeResponses().limitSendBuffer(connection);
+    body.length()
+        .ifPresent(
+            length -> response.withHeader(HttpHeaders.CONTENT_LENGTH, String.valueOf(length)));
+    return response.withBodyStream(new ResponseBodyStream(body, connection)).build();
   }
 
   private static Promise<HttpResponse> reject(HttpRequest request, HttpResponse response) {
@@ -252,9 +293,11 @@
                 }));
   }
 
-  private Promise<HttpResponse> reject(HttpRequest request, RequestReader.Problem problem) {
+  private Promise<HttpResponse> reject(
+      HttpRequest request, RequestReader.Problem problem, GatewayConfig activeConfig) {
+    metrics.recordRejected(problem);
     return switch (problem) {
-      case KEY_MISSING, KEY_UNKNOWN, KEY_MALFORMED -> rejectByKey(request, problem);
+      case KEY_MISSING, KEY_UNKNOWN, KEY_MALFORMED -> rejectByKey(request, problem, activeConfig);
       case OLDER_CONFIG ->
           reject(request, notRun(NotRunReasons.OLDER_CONFIG, OLDER_CONFIG_RETRY_AFTER_MILLIS));
       case KEYS_STALE ->
@@ -264,7 +307,8 @@
   }
 
   /** Responds at once, before the body, which is not kept, has arrived. */
-  private Promise<HttpResponse> rejectByKey(HttpRequest request, RequestReader.Problem problem) {
+  private Promise<HttpResponse> rejectByKey(
+      HttpRequest request, RequestReader.Problem problem, GatewayConfig activeConfig) {
     EventLog.log(
         Event.KEY_REJECTED,
         "request",
@@ -273,6 +317,8 @@
         Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse(""),
         "path",
         request.getPath(),
+        "config",
+        activeConfig.version(),
         "callerAddress",
         request.getRemoteAddress().getHostAddress(),
         "why",
@@ -287,7 +333,7 @@
 
   private static HttpResponse notRun(String reason, long retryAfterMillis) {
     String seconds = String.format(Locale.ROOT, "%.3f", retryAfterMillis / 1_000.0);
-    return HttpResponse.ofCode(STATUS_UNAVAILABLE)
+    return HttpResponse.ofCode(NotRunReasons.statusOf(reason))
         .withHeader(RETRY_AFTER, seconds)
         .withHeader(ERROR_REASON, reason)
         .withBody(reason.getBytes(StandardCharsets.US_ASCII))
--- a/entry/src/main/java/org/mustardstage/entry/gateway/NotRunReasons.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/NotRunReasons.java
@@ -21,6 +21,9 @@
   /** The bodies of all requests together hold too much memory. */
   static final String BUFFERS_FULL = "BUFFERS_FULL";
 
+  /** The large responses that are on their way to callers hold too much memory. */
+  static final String RESPONSES_FULL = "RESPONSES_FULL";
+
   /** This VM reaches no endpoint, and no other VM can send the request to one. */
   static final String CUT_OFF = "CUT_OFF";
 
@@ -39,5 +42,19 @@
   /** The deadline passed before the request was sent. */
   static final String DEADLINE = "DEADLINE";
 
+  /** The quota of the tenant is used up. */
+  static final String QUOTA_EXHAUSTED = "QUOTA_EXHAUSTED";
+
+  /** No VM says what is left of the quota of the tenant. */
+  static final String QUOTA_UNKNOWN = "QUOTA_UNKNOWN";
+
+  private static final int STATUS_TOO_MANY_REQUESTS = 429;
+  private static final int STATUS_UNAVAILABLE = 503;
+
   private NotRunReasons() {}
+
+  /** Returns the status of the response to a request that was not run. */
+  static int statusOf(String reason) {
+    return reason.equals(QUOTA_EXHAUSTED) ? STATUS_TOO_MANY_REQUESTS : STATUS_UNAVAILABLE;
+  }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
@@ -4,11 +4,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.placement.AttemptResult;
 import org.mustardstage.core.placement.AttemptResult.Status;
 import org.mustardstage.core.placement.PlacementDecision;
+import org.mustardstage.core.quota.QuotaPermit;
 
 /** One send of a request to one endpoint. */
 final class RequestAttempt {
@@ -16,21 +18,25 @@
   private final ServiceName service;
   private final PlacementDecision.Placed placed;
   private final EndpointConnection connection;
+  private final Optional<QuotaPermit> permit;
   private final List<String> trace;
   private final long startedNanos = System.nanoTime();
   private final List<ScheduledRunnable> timers = new ArrayList<>();
   private boolean hedged;
+  private OptionalLong respondedNanos = OptionalLong.empty();
 
   RequestAttempt(
       Placer placer,
       ServiceName service,
       PlacementDecision.Placed placed,
       EndpointConnection connection,
+      Optional<QuotaPermit> permit,
       List<String> trace) {
     this.placer = placer;
     this.service = service;
     this.placed = placed;
     this.connection = connection;
+    this.permit = permit;
     this.trace = trace;
   }
 
@@ -42,6 +48,11 @@
     return connection;
   }
 
+  /** Returns the permit by which it runs; empty if it needs none. */
+  Optional<QuotaPermit> permit() {
+    return permit;
+  }
+
   long startedNanos() {
     return startedNanos;
   }
@@ -65,6 +76,15 @@
     hedged = true;
   }
 
+  /**
+   * Records that the response has begun. What follows depends on the caller's pace too, and says
+   * nothing about the endpoint's.
+   */
+  void markResponded() {
+    timers.forEach(ScheduledRunnable::cancel);
+    respondedNanos = OptionalLong.of(System.nanoTime());
+  }
+
   /** Closes the connection, so that the endpoint stops its work, and ends the attempt. */
   void cancel() {
     connection.close();
@@ -79,7 +99,7 @@
   /** Ends the attempt. */
   void finish(Status status, EndpointReport report) {
     timers.forEach(ScheduledRunnable::cancel);
-    long elapsedNanos = System.nanoTime() - startedNanos;
+    long elapsedNanos = respondedNanos.orElseGet(System::nanoTime) - startedNanos;
     Optional<Long> connectNanos =
         connection.connectNanos().isPresent()
             ? Optional.of(connection.connectNanos().getAsLong())
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -23,6 +23,8 @@
 import org.mustardstage.core.placement.RejectionReason;
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.RequestFingerprint;
+import org.mustardstage.core.tenant.Tenant;
+import org.mustardstage.core.transfer.TransferBudget;
 
 /**
  * Executes one request of a caller: requests a placement, sends the request to the chosen endpoint,
@@ -66,6 +68,10 @@
   private final Supplier<RequestFingerprint> fingerprint;
 
   private final CallerRequest request;
+
+  /** The room for the response, if it is a large one. */
+  private final Optional<TransferBudget<String>.Transfer> transfer;
+
   private final SettablePromise<RequestOutcome> outcome = new SettablePromise<>();
   private final Set<EndpointId> triedEndpoints = new HashSet<>();
   private final List<String> trace = new ArrayList<>();
@@ -78,19 +84,26 @@
   private Optional<ScheduledRunnable> timeout = Optional.empty();
 
   private final AttemptBudget attemptBudget;
+  private final AttemptPermit permit;
   private int failedConnects;
+  private Optional<StreamedAttempt> streamed = Optional.empty();
   private boolean relaying;
   private boolean mayHaveRun;
 
   /** A server error from an endpoint, forwarded if no other endpoint responds with a success. */
   private Optional<RequestOutcome.Responded> failedResponse = Optional.empty();
 
-  RequestExecution(GatewayServices services, CallerRequest request, ConfigVersion configVersion) {
+  RequestExecution(
+      GatewayServices services,
+      CallerRequest request,
+      Optional<TransferBudget<String>.Transfer> transfer,
+      ConfigVersion configVersion) {
     this.services = services;
     this.reactor = services.reactor();
     this.connections = services.connections();
     this.linkMonitor = services.linkMonitor();
     this.request = request;
+    this.transfer = transfer;
     this.fingerprint = Suppliers.memoize(request::fingerprint);
     this.lostAttempts =
         new LostAttempts(reactor, connections, linkMonitor, services.crashGuard(), fingerprint);
@@ -100,6 +113,7 @@
                 new RequestRelay(
                     services.relayNetwork(), request, configVersion, trace, this::onRelayResult));
     this.attemptBudget = new AttemptBudget(request);
+    this.permit = new AttemptPermit(services.quotas(), request.tenant().map(Tenant::name));
   }
 
   /** Starts the execution. The returned promise never fails. */
@@ -148,7 +162,19 @@
     placeLocally();
   }
 
+  /** Requests an endpoint, if the quota of the tenant allows another attempt now. */
   private void placeLocally() {
+    permit.acquire(this::placeWithPermit, this::onNoPermit, () -> {});
+  }
+
+  private void onNoPermit(RequestOutcome.NotRun refusal) {
+    trace.add(refusal.reason());
+    if (!isInFlight()) {
+      finish(failureOutcome(refusal.reason(), refusal.retryAfterMillis()));
+    }
+  }
+
+  private void placeWithPermit() {
     long objectiveDeadlineNanos =
         request.arrivalNanos()
             + TimeUnit.MILLISECONDS.toNanos(request.rule().latencyObjectiveMillis());
@@ -173,6 +199,7 @@
                 });
     if (!decidedSynchronously[0]) {
       pendingPlacement = Optional.of(pending);
+      permit.putBack();
     }
   }
 
@@ -244,7 +271,8 @@
     if (outcome.isComplete() || relaying) {
       return;
     }
-    boolean waiting = pendingPlacement.isPresent();
+    boolean waiting = pendingPlacement.isPresent() || permit.isWaiting();
+    permit.cancel();
     pendingPlacement.ifPresent(Placer.PendingPlacement::cancel);
     pendingPlacement = Optional.empty();
     for (RequestAttempt attempt : ImmutableList.copyOf(attemptsInFlight)) {
@@ -252,6 +280,7 @@
         waiting = true;
         attemptsInFlight.remove(attempt);
         attempt.cancel();
+        permit.putBack(attempt.permit());
         attemptBudget.recordNotSent();
       }
     }
@@ -297,12 +326,20 @@
     switch (decision) {
       case PlacementDecision.Placed placed -> {
         if (outcome.isComplete() || rejectBlocked()) {
-          services.placer().release(request.service(), placed, AttemptResult.abandoned());
+          release(placed);
+          permit.putBack();
           return;
         }
-        send(placed);
+        permit.acquire(
+            () -> send(placed),
+            refusal -> {
+              release(placed);
+              onNoPermit(refusal);
+            },
+            () -> release(placed));
       }
       case PlacementDecision.Rejected rejected -> {
+        permit.putBack();
         trace.add(rejected.reason().toString());
         if (!isInFlight()) {
           finish(failureOutcome(rejected.reason().toString(), rejected.retryAfterMillis()));
@@ -311,6 +348,11 @@
     }
   }
 
+  /** Releases the slot of a placement for which no attempt is sent. */
+  private void release(PlacementDecision.Placed placed) {
+    services.placer().release(request.service(), placed, AttemptResult.abandoned());
+  }
+
   private void send(PlacementDecision.Placed placed) {
     RegisteredEndpoint endpoint = placed.endpoint();
     long remainingMillis = remainingMillis() - RESPONSE_TRANSFER_MARGIN_MILLIS;
@@ -319,16 +361,22 @@
             request, endpoint, services.headerNames(), Math.max(1, remainingMillis));
     triedEndpoints.add(endpoint.id());
     Optional<EndpointConnectionPool.Sent> sent =
-        connections.send(endpoint.address(), request, bytes);
+        connections.send(endpoint.address(), request, transfer, bytes);
     if (sent.isEmpty()) {
-      services.placer().release(request.service(), placed, AttemptResult.abandoned());
+      release(placed);
+      permit.putBack();
       failUnlessInFlight(NotRunReasons.NO_LINK);
       return;
     }
     attemptBudget.recordSent();
     RequestAttempt current =
         new RequestAttempt(
-            services.placer(), request.service(), placed, sent.get().connection(), trace);
+            services.placer(),
+            request.service(),
+            placed,
+            sent.get().connection(),
+            permit.take(),
+            trace);
     attemptsInFlight.add(current);
     scheduleHedge(current);
     scheduleOverdueCheck(current);
@@ -417,6 +465,7 @@
     boolean isAlive = connections.isAlive(endpoint.address(), RECENT_RESPONSE_NANOS);
     current.finish(isAlive ? Status.ABANDONED : Status.UNREACHABLE);
     attemptBudget.recordNotSent();
+    permit.putBack(current.permit());
     failedConnects++;
     if (isInFlight()) {
       return;
@@ -443,6 +492,7 @@
     ResponseIntegrity integrity = new ResponseIntegrity(headerNames, request.id());
     if (integrity.provesNotRun(response)) {
       returnToPool(current);
+      permit.putBack(current.permit());
       if (response.isMisdirected()) {
         // Another endpoint responded, whose load and notices say nothing about the expected one.
         current.finish(Status.MISDIRECTED);
@@ -459,8 +509,17 @@
       retryOrFail(RequestOutcome.Unknown.Cause.ANSWER_SPOILED);
       return;
     }
-    returnToPool(current);
     lostAttempts.recordResponse();
+    if (response.stream().isPresent()) {
+      StreamedAttempt attempt =
+          new StreamedAttempt(services, request, current, report, response.stream().get());
+      streamed = Optional.of(attempt);
+      attempt.start();
+      cancelAttempts();
+      finish(new RequestOutcome.Responded(response));
+      return;
+    }
+    returnToPool(current);
     boolean failed = response.status() >= MIN_SERVER_ERROR_STATUS;
     current.finish(failed ? Status.FAILED : Status.ANSWERED, report);
     RequestOutcome.Responded responded = new RequestOutcome.Responded(response);
@@ -534,6 +593,7 @@
   /** Cancels the pending placement and all attempts, as nobody waits for the response. */
   void onCallerDisconnected() {
     if (outcome.isComplete()) {
+      streamed.ifPresent(StreamedAttempt::onCallerDisconnected);
       return;
     }
     cancelAttempts();
@@ -541,6 +601,7 @@
   }
 
   private void cancelAttempts() {
+    permit.cancel();
     pendingPlacement.ifPresent(Placer.PendingPlacement::cancel);
     pendingPlacement = Optional.empty();
     if (relaying) {
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -85,7 +85,17 @@
   /** The traffic thread caught an unexpected exception. */
   TRAFFIC_FAULT(91, Level.ERROR),
   /** A request was rejected by its API key. */
-  KEY_REJECTED(100, Level.INFO);
+  KEY_REJECTED(100, Level.INFO),
+  /** This VM began or ceased to hand out quotas of tenants. */
+  QUOTA_OWNERSHIP_CHANGED(110, Level.INFO),
+  /** Requests of a tenant were refused because of its quota. */
+  QUOTA_REFUSED(111, Level.WARN),
+  /** A request was refused, as there is no room for its large response. */
+  LARGE_REQUEST_REFUSED(130, Level.INFO),
+  /** A large response ended before the caller had all of it. */
+  LARGE_RESPONSE_CUT(131, Level.INFO),
+  /** The send buffer of a caller's connection could not be limited. */
+  SEND_BUFFER_NOT_LIMITED(132, Level.DEBUG);
 
   private final int number;
   private final Level level;
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewaySettingsReaderTest.java
@@ -9,12 +9,14 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.DocumentProblem;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.placement.RegionShiftLimit;
+import org.mustardstage.core.quota.QuotaSettings;
 
 class GatewaySettingsReaderTest {
   private static final String SETTINGS =
@@ -65,6 +67,31 @@
     assertThat(GatewaySettingsReader.read(SETTINGS + "movedShare: 2\n").isLeft(), is(true));
   }
 
+  @Test
+  void quotaBoundsAreReadAndChecked() {
+    GatewaySettings settings =
+        GatewaySettingsReader.read(
+                SETTINGS + "quotaWindowSeconds: 2.5\nquotaExcessShare: 0.2\nquotaReserve: 7\n")
+            .get();
+
+    assertThat(settings.quotas(), is(new QuotaSettings(2_500_000_000L, 0.2, 7)));
+    assertThat(GatewaySettingsReader.read(SETTINGS).get().quotas(), is(QuotaSettings.defaults()));
+    assertThat(GatewaySettingsReader.read(SETTINGS + "quotaReserve: -1\n").isLeft(), is(true));
+  }
+
+  @Test
+  void keyLifetimeIsReadAndChecked() {
+    assertThat(
+        GatewaySettingsReader.read(SETTINGS).get().keyLifetimeMillis(), is(OptionalLong.empty()));
+    assertThat(
+        GatewaySettingsReader.read(SETTINGS + "keyLifetimeSeconds: 5\n").get().keyLifetimeMillis(),
+        is(OptionalLong.of(5_000)));
+    for (String malformed : List.of("0", "-1", "true", "\"5\"", "null")) {
+      String text = SETTINGS + "keyLifetimeSeconds: " + malformed + "\n";
+      assertThat(malformed, GatewaySettingsReader.read(text).isLeft(), is(true));
+    }
+  }
+
   @Test
   void allProblemsAreReported() {
     Either<List<DocumentProblem>, GatewaySettings> read =
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -68,7 +68,9 @@
   FakeEndpoint first;
   FakeEndpoint second;
   GatewayServer server;
+  GatewayMetrics metrics;
   HostAndPort address;
+  HostAndPort metricsAddress;
   private boolean serverStopped;
 
   @BeforeEach
@@ -76,8 +78,11 @@
     first = new FakeEndpoint("i-1");
     second = new FakeEndpoint("i-2");
     address = TestPorts.freeAddress();
+    metrics = new GatewayMetrics();
+    metricsAddress = TestPorts.freeAddress();
     server =
-        new GatewayServer(settings(address), new FakeAdapter(), new GatewayMetrics(), HEAP_BYTES);
+        new GatewayServer(
+            settings(address, metricsAddress), new FakeAdapter(), metrics, HEAP_BYTES);
     server.start(new ReadyStatus());
     server.onConfig(config());
     publish(first, second);
@@ -133,7 +138,8 @@
         .header("X-Deadline-Ms", "30000");
   }
 
-  private static GatewaySettings settings(HostAndPort address) throws IOException {
+  private static GatewaySettings settings(HostAndPort address, HostAndPort metricsAddress)
+      throws IOException {
     ZoneId zone = new ZoneId("north-a");
     RegionId region = new RegionId("north");
     return new GatewaySettings(
@@ -145,7 +151,7 @@
         TestPorts.freeAddress(),
         Optional.empty(),
         TestPorts.freeAddress(),
-        TestPorts.freeAddress(),
+        metricsAddress,
         TestPorts.freeAddress(),
         List.of(),
         1_000,
@@ -171,7 +177,24 @@
                 rule("look", true, 5_000, ORDERS),
                 rule("book", false, 1_000, ORDERS),
                 rule("brief", false, 200, ORDERS),
-                rule("reports", false, 3_000, REPORTS))));
+                rule("reports", false, 3_000, REPORTS),
+                largeRule("bundles", 3_000, REPORTS))));
+  }
+
+  private static RoutingRule largeRule(String name, long timeoutMillis, ServiceName service) {
+    return new RoutingRule(
+        name,
+        "/" + name + "/",
+        /* idempotent= */ true,
+        300,
+        1,
+        /* affinity= */ false,
+        List.of(new WeightedService(service, 1)),
+        timeoutMillis,
+        2,
+        ImmutableSet.of(),
+        /* anonymous= */ true,
+        /* largeResponses= */ true);
   }
 
   private static RoutingRule rule(
