--- a/core/src/main/java/org/mustardstage/core/placement/AttemptResult.java
+++ b/core/src/main/java/org/mustardstage/core/placement/AttemptResult.java
@@ -41,6 +41,8 @@
     UNREACHABLE,
     /** No response was received before the timeout. */
     SILENT,
+    /** A hedge responded first, while the endpoint still worked. */
+    OVERTAKEN,
     /** The caller left or the deadline passed, which says nothing about the endpoint. */
     ABANDONED;
 
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointCircuitBreaker.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointCircuitBreaker.java
@@ -76,7 +76,7 @@
         open(nowNanos);
         yield false;
       }
-      case ABANDONED -> {
+      case OVERTAKEN, ABANDONED -> {
         probeInFlight = false;
         yield false;
       }
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -17,6 +17,7 @@
 import org.mustardstage.core.fairness.TenantShares;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.gateway.ServiceSpec;
+import org.mustardstage.core.hedge.SlotUse;
 import org.mustardstage.core.id.EndpointId;
 
 /**
@@ -175,6 +176,28 @@
     return decision;
   }
 
+  /**
+   * Places a second attempt of a request at once on a free slot, in time for the deadline; returns
+   * empty if that is not possible.
+   */
+  public Optional<PlacementDecision.Placed> placeHedge(long nowNanos, SchedulerRequest request) {
+    return chooser
+        .choose(nowNanos, request, /* aboveShare= */ false, /* queueWaitNanos= */ 0)
+        .placeableNow()
+        .filter(candidate -> nowNanos + candidate.responseNanos() <= request.deadlineNanos())
+        .map(candidate -> place(nowNanos, request, candidate));
+  }
+
+  /** Returns how busy the endpoints of the own region are, which requests use before others. */
+  public SlotUse slotUse(long nowNanos) {
+    double free =
+        usableEndpoints.stream()
+            .filter(roundTrips::isInOwnRegion)
+            .mapToDouble(state -> Math.max(0, state.freeSlots(nowNanos)))
+            .sum();
+    return new SlotUse(ownRegionSlots, (int) Math.ceil(ownRegionSlots - free), queue.size());
+  }
+
   private boolean isAboveShare(SchedulerRequest request) {
     return aboveShare.contains(request.id());
   }
@@ -243,7 +266,8 @@
     ownRegionSlots += roundTrips.isInOwnRegion(state) ? state.slots() - slotsBefore : 0;
     if (result.status() == AttemptResult.Status.ANSWERED) {
       estimates.recordResponse(nowNanos, placed, state, result);
-    } else if (result.status() == AttemptResult.Status.SILENT) {
+    } else if (result.status() == AttemptResult.Status.SILENT
+        || result.status() == AttemptResult.Status.OVERTAKEN) {
       state.recordServiceTime(
           nowNanos, (double) result.elapsedNanos(), (double) placed.expectedResponseNanos());
     }
@@ -348,7 +372,8 @@
     return queue.size();
   }
 
-  private PlacementDecision place(long nowNanos, SchedulerRequest request, Candidate candidate) {
+  private PlacementDecision.Placed place(
+      long nowNanos, SchedulerRequest request, Candidate candidate) {
     EndpointState state = candidate.state();
     state.recordSent(nowNanos);
     endpointLimits.recordSent(nowNanos, state.endpoint());
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.mustardstage.core.gateway.GatewayConfig;
@@ -58,6 +59,7 @@
   private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
   private final Map<Long, Pending> pending = new HashMap<>();
   private final EndpointLimits endpointLimits;
+  private final ServiceHedges hedges;
   private volatile ImmutableSet<EndpointLimit> limitsInForce = ImmutableSet.of();
   private Optional<MemberView> members = Optional.empty();
   private Consumer<RegisteredEndpoint> leavingListener = endpoint -> {};
@@ -82,6 +84,7 @@
         new RoundTripEstimates(settings.zone(), settings.region(), settings.regions());
     this.regionShiftLimiter =
         new RegionShiftLimiter(settings.regionShiftLimit(), phaseOf(settings.vm()));
+    this.hedges = new ServiceHedges(settings.hedging(), clock);
     this.endpointLimits =
         new EndpointLimits(settings.vm(), roundTrips::regionOf, clock.getAsLong());
   }
@@ -201,16 +204,7 @@
   }
 
   private void decide(long id, PlacementRequest request, Consumer<PlacementDecision> onDecision) {
-    SchedulerRequest schedulerRequest =
-        new SchedulerRequest(
-            id,
-            request.rule(),
-            request.tenant(),
-            request.affinityKey(),
-            request.arrivalNanos(),
-            request.objectiveDeadlineNanos(),
-            request.deadlineNanos(),
-            request.excludedEndpoints());
+    SchedulerRequest schedulerRequest = toSchedulerRequest(id, request);
     ServiceScheduler scheduler = schedulers.get(request.service());
     if (scheduler == null) {
       onDecision.accept(
@@ -237,9 +231,40 @@
     startTicking();
   }
 
+  private static SchedulerRequest toSchedulerRequest(long id, PlacementRequest request) {
+    return new SchedulerRequest(
+        id,
+        request.rule(),
+        request.tenant(),
+        request.affinityKey(),
+        request.arrivalNanos(),
+        request.objectiveDeadlineNanos(),
+        request.deadlineNanos(),
+        request.excludedEndpoints());
+  }
+
   @Override
   public void recordFirstAttempt(ServiceName service) {
     retryBudgetOf(service).recordFirstAttempt();
+    hedges.recordFirstAttempt(service);
+  }
+
+  @Override
+  public OptionalLong hedgeDelayMillis(
+      ServiceName service, long expectedMillis, long remainingMillis) {
+    return hedges.delayMillis(service, expectedMillis, remainingMillis);
+  }
+
+  @Override
+  public Optional<PlacementDecision.Placed> placeHedge(PlacementRequest request) {
+    ServiceScheduler scheduler = schedulers.get(request.service());
+    long nowNanos = clock.getAsLong();
+    if (scheduler == null
+        || !hedges.tryAcquire(request.service(), scheduler.slotUse(nowNanos))
+        || !tryAcquireRetry(request.service())) {
+      return Optional.empty();
+    }
+    return scheduler.placeHedge(nowNanos, toSchedulerRequest(nextRequestId++, request));
   }
 
   @Override
@@ -278,6 +303,9 @@
     AttemptResult result = cutOff ? reported.withoutBlame() : reported;
     ServiceScheduler scheduler = schedulers.get(service);
     recordLimit(placed.endpoint(), result);
+    if (result.status() == AttemptResult.Status.ANSWERED) {
+      hedges.recordResponse(service, placed.expectedResponseNanos(), result.elapsedNanos());
+    }
     if (result.notice().leaving()) {
       leavingListener.accept(placed.endpoint());
     }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.mustardstage.core.hedge.HedgeSettings;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.ZoneId;
@@ -38,6 +39,7 @@
  * @param milliCores the processing capacity of the VM, in thousandths of a core
  * @param logLevel the minimum level of log lines
  * @param quotas how exactly the quotas of tenants hold
+ * @param hedging how much extra work is accepted for faster responses
  */
 public record GatewaySettings(
     VmId vm,
@@ -59,7 +61,8 @@
     OptionalLong keyLifetimeMillis,
     int milliCores,
     String logLevel,
-    QuotaSettings quotas) {
+    QuotaSettings quotas,
+    HedgeSettings hedging) {
   /** Copies the collections and checks the ranges of the numbers. */
   public GatewaySettings {
     regions = ImmutableMap.copyOf(regions);
@@ -84,7 +87,7 @@
         milliCores > 0, "milliCores (1000 * cores * cpuShare) must be positive: %s", milliCores);
   }
 
-  /** Creates settings with {@link QuotaSettings#defaults}. */
+  /** Creates settings with {@link QuotaSettings#defaults} and without hedging. */
   public GatewaySettings(
       VmId vm,
       ZoneId zone,
@@ -125,6 +128,7 @@
         keyLifetimeMillis,
         milliCores,
         logLevel,
-        QuotaSettings.defaults());
+        QuotaSettings.defaults(),
+        HedgeSettings.OFF);
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettingsReader.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
+import org.mustardstage.core.hedge.HedgeSettings;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.ZoneId;
@@ -90,7 +91,9 @@
                       * root.path("cores").asDouble(1)
                       * root.path("cpuShare").asDouble(1)),
               root.path("logLevel").asText("info"),
-              quotas());
+              quotas(),
+              new HedgeSettings(
+                  root.has("hedgeShare") ? number("hedgeShare") : HedgeSettings.OFF.extraShare()));
     } catch (IllegalArgumentException | NullPointerException e) {
       if (problems.isEmpty()) {
         problems.add(
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
@@ -23,6 +23,7 @@
   private final long startedNanos = System.nanoTime();
   private final List<ScheduledRunnable> timers = new ArrayList<>();
   private boolean hedged;
+  private boolean inTail;
   private OptionalLong respondedNanos = OptionalLong.empty();
 
   RequestAttempt(
@@ -85,10 +86,24 @@
     respondedNanos = OptionalLong.of(System.nanoTime());
   }
 
+  /** Records that a hedge runs beside this attempt, as it takes longer than nearly all others. */
+  void markInTail() {
+    inTail = true;
+  }
+
   /** Closes the connection, so that the endpoint stops its work, and ends the attempt. */
   void cancel() {
+    cancel(Status.ABANDONED);
+  }
+
+  /** Cancels the attempt, as another one has responded. */
+  void cancelOvertaken() {
+    cancel(inTail ? Status.OVERTAKEN : Status.ABANDONED);
+  }
+
+  private void cancel(Status status) {
     connection.close();
-    finish(hedged ? Status.SILENT : Status.ABANDONED, EndpointReport.NONE);
+    finish(hedged ? Status.SILENT : status, EndpointReport.NONE);
   }
 
   /** Ends the attempt without a response. */
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -175,24 +175,12 @@
   }
 
   private void placeWithPermit() {
-    long objectiveDeadlineNanos =
-        request.arrivalNanos()
-            + TimeUnit.MILLISECONDS.toNanos(request.rule().latencyObjectiveMillis());
     boolean[] decidedSynchronously = new boolean[1];
     Placer.PendingPlacement pending =
         services
             .placer()
             .place(
-                new PlacementRequest(
-                    request.service(),
-                    request.rule(),
-                    request.tenant(),
-                    request.affinityKey(),
-                    request.arrivalNanos(),
-                    objectiveDeadlineNanos,
-                    request.deadlineNanos(),
-                    triedEndpoints,
-                    attemptBudget.nextUse()),
+                placementRequest(),
                 decision -> {
                   decidedSynchronously[0] = true;
                   onDecision(decision);
@@ -203,6 +191,22 @@
     }
   }
 
+  private PlacementRequest placementRequest() {
+    long objectiveDeadlineNanos =
+        request.arrivalNanos()
+            + TimeUnit.MILLISECONDS.toNanos(request.rule().latencyObjectiveMillis());
+    return new PlacementRequest(
+        request.service(),
+        request.rule(),
+        request.tenant(),
+        request.affinityKey(),
+        request.arrivalNanos(),
+        objectiveDeadlineNanos,
+        request.deadlineNanos(),
+        triedEndpoints,
+        attemptBudget.nextUse());
+  }
+
   /** Relays the request to another VM; returns whether that was decided. */
   private boolean startRelay() {
     if (relaying || !attemptBudget.hasAttempt() || !relay.get().hasVm()) {
@@ -379,6 +383,7 @@
             trace);
     attemptsInFlight.add(current);
     scheduleHedge(current);
+    scheduleTailHedge(current);
     scheduleOverdueCheck(current);
     sent.get().response().whenResult(result -> onAttemptResult(current, result));
   }
@@ -425,6 +430,37 @@
     requestPlacement();
   }
 
+  private void scheduleTailHedge(RequestAttempt current) {
+    if (!request.rule().idempotent()
+        || request.rule().largeResponses()
+        || !attemptBudget.hasAttempt()) {
+      return;
+    }
+    services
+        .placer()
+        .hedgeDelayMillis(request.service(), current.expectedMillis(), remainingMillis())
+        .ifPresent(
+            delayMillis ->
+                current.addTimer(reactor.delay(delayMillis, () -> onTailDelay(current))));
+  }
+
+  /** Hedges the request, as the response takes longer than nearly all recent ones did. */
+  private void onTailDelay(RequestAttempt current) {
+    boolean busy = pendingPlacement.isPresent() || permit.isWaiting() || relaying;
+    if (busy || attemptsInFlight.size() != 1 || !attemptsInFlight.contains(current)) {
+      return;
+    }
+    services
+        .placer()
+        .placeHedge(placementRequest())
+        .ifPresent(
+            placed -> {
+              trace.add("HEDGE");
+              current.markInTail();
+              onDecision(placed);
+            });
+  }
+
   private void onAttemptResult(
       RequestAttempt current, Either<ConnectionFailure, EndpointResponse> result) {
     if (!attemptsInFlight.remove(current)) {
@@ -534,6 +570,8 @@
       requestPlacement();
       return;
     }
+    attemptsInFlight.forEach(RequestAttempt::cancelOvertaken);
+    attemptsInFlight.clear();
     cancelAttempts();
     finish(responded);
   }
