Let VMs that have just started use their shares of quotas once the platform's list was read

Cause: a VM that has just started knows few others, so its share counted only after 6 s, and after the loss of all VMs tenants with quotas were served nothing for 6 s. Change: until then the number of VMs that the platform lists counts, with which the share is not too large, and the share is used as soon as the loans of an earlier run have ended (2.4 s). Each VM reads the list once at its start.

--- a/core/src/main/java/org/mustardstage/core/quota/TenantQuotas.java
+++ b/core/src/main/java/org/mustardstage/core/quota/TenantQuotas.java
@@ -48,6 +48,9 @@
   private final Map<TenantName, TenantPermits> permits = new HashMap<>();
   private ImmutableMap<TenantName, TenantQuota> quotas = ImmutableMap.of();
 
+  /** Zero until the platform's list has been read. */
+  private int listedVms;
+
   /** Shared with {@link TenantPermits}; emptied by {@link #takeActions}. */
   private final List<QuotaAction> actions = new ArrayList<>();
 
@@ -70,6 +73,14 @@
     roles.setMembers(nowNanos, view);
   }
 
+  /**
+   * Records how many VMs the platform lists, this one included. A VM that has just started can use
+   * its share sooner by that, as no VM is missing.
+   */
+  public void setListedVms(int count) {
+    listedVms = count;
+  }
+
   /** Replaces the tenants. */
   public void setTenants(long nowNanos, TenantDirectory tenants) {
     ImmutableMap.Builder<TenantName, TenantQuota> limited = ImmutableMap.builder();
@@ -77,7 +88,7 @@
       tenant.quota().ifPresent(quota -> limited.put(tenant.name(), quota));
     }
     quotas = limited.buildOrThrow();
-    int knownVms = roles.knownVms(nowNanos);
+    int knownVms = knownVms(nowNanos);
     owners.values().forEach(owner -> owner.setQuotas(nowNanos, knownVms, quotas));
   }
 
@@ -153,22 +164,37 @@
     if (collected.countUntil(nowNanos) > 0) {
       lendZone(nowNanos);
     }
-    int knownVms = roles.knownVms(nowNanos);
+    int knownVms = knownVms(nowNanos);
     owners.values().forEach(owner -> owner.update(nowNanos, knownVms));
     permits.values().forEach(own -> own.tick(nowNanos));
     permits.values().removeIf(own -> own.isIdle(nowNanos));
     deliverOwn(nowNanos);
   }
 
+  /**
+   * Returns whether enough is known to use the share of this VM: all other VMs, and that no loan of
+   * an earlier run is left.
+   */
+  private boolean isSettled(long nowNanos) {
+    long ageNanos = nowNanos - createdNanos;
+    return ageNanos >= MembershipSettings.DISCOVERY_NANOS
+        || (listedVms > 0 && ageNanos >= COLLECTOR_LOAN_NANOS);
+  }
+
+  /**
+   * Returns the number of VMs that may use a share. Until a VM can know all others by itself, those
+   * that the platform lists count too, though some may be gone for good.
+   */
+  private int knownVms(long nowNanos) {
+    boolean isNew = nowNanos - createdNanos < MembershipSettings.DISCOVERY_NANOS;
+    return Math.max(roles.knownVms(nowNanos), isNew ? listedVms : 0);
+  }
+
   private void sendOwnShare(long nowNanos, ShareLoan.Renewal renewal) {
     send(
         renewal.to(),
         new QuotaMessage.Shares(
-            QuotaMessage.ALL_GROUPS,
-            1,
-            renewal.mark(),
-            roles.knownVms(nowNanos),
-            nowNanos - createdNanos >= MembershipSettings.DISCOVERY_NANOS));
+            QuotaMessage.ALL_GROUPS, 1, renewal.mark(), knownVms(nowNanos), isSettled(nowNanos)));
   }
 
   private void lendZone(long nowNanos) {
@@ -191,7 +217,7 @@
             group,
             collected.countUntil(nowNanos + OWNER_LOAN_NANOS),
             renewal.mark(),
-            Math.max(roles.knownVms(nowNanos), collected.knownVms(nowNanos)),
+            Math.max(knownVms(nowNanos), collected.knownVms(nowNanos)),
             collected.isSettled(nowNanos)));
   }
 
@@ -207,14 +233,13 @@
         long mark =
             shares.group() == QuotaMessage.ALL_GROUPS
                 ? collected.renew(nowNanos, from, shares)
-                : owner(nowNanos, shares.group())
-                    .renew(nowNanos, roles.knownVms(nowNanos), from, shares);
+                : owner(nowNanos, shares.group()).renew(nowNanos, knownVms(nowNanos), from, shares);
         send(from, new QuotaMessage.Mark(shares.group(), mark));
       }
       case QuotaMessage.Mark mark -> applyMark(nowNanos, from, mark);
       case QuotaMessage.Ask ask ->
           owner(nowNanos, QuotaRoles.groupOf(ask.tenant()))
-              .answer(nowNanos, roles.knownVms(nowNanos), ask)
+              .answer(nowNanos, knownVms(nowNanos), ask)
               .ifPresent(grant -> send(from, grant));
       case QuotaMessage.Grant grant -> {
         TenantPermits own = permits.get(grant.tenant());
--- a/core/src/test/java/org/mustardstage/core/quota/QuotaCluster.java
+++ b/core/src/test/java/org/mustardstage/core/quota/QuotaCluster.java
@@ -45,6 +45,7 @@
   private final Vm[] vms;
   private BiPredicate<Integer, Integer> linked = (from, to) -> true;
   private double lossShare;
+  private boolean listsVms;
   private long nextRequest;
 
   private static final class Vm {
@@ -90,6 +91,9 @@
     vms[vm].quotas = Optional.of(quotas);
     vms[vm].waiting.clear();
     vms[vm].tenants = tenants;
+    if (listsVms) {
+      quotas.setListedVms(vms.length);
+    }
     quotas.setMembers(nowNanos, view(vm, other -> vm == other ? 1 : 0));
     quotas.setTenants(nowNanos, tenants);
     tick(vm, quotas);
@@ -120,6 +124,11 @@
     linked = newLinked;
   }
 
+  /** Lets VMs that start read from the platform how many there are. */
+  void setListsVms(boolean newListsVms) {
+    listsVms = newListsVms;
+  }
+
   void setLossShare(double share) {
     lossShare = share;
   }
--- a/core/src/test/java/org/mustardstage/core/quota/QuotaSimulationTest.java
+++ b/core/src/test/java/org/mustardstage/core/quota/QuotaSimulationTest.java
@@ -183,6 +183,28 @@
     assertBoundHolds(cluster, "moving");
   }
 
+  /** Handles the loss of all VMs at once, which takes a second with the platform's list at hand. */
+  @Test
+  void owedIsServedFourSecondsAfterAllVmsStartedAgainWithTheListAtHand() {
+    for (long seed = 1; seed <= 5; seed++) {
+      QuotaCluster cluster = new QuotaCluster(98, seed);
+      cluster.setListsVms(true);
+      cluster.startAll(TENANTS);
+      cluster.events.at(7 * SECOND, () -> load(cluster, 4, vm -> vm));
+      long startedNanos = FAULT_NANOS + SECOND;
+      for (int i = 0; i < cluster.size(); i++) {
+        int vm = i;
+        cluster.events.at(FAULT_NANOS, () -> cluster.kill(vm));
+        cluster.events.at(startedNanos, () -> cluster.restart(vm));
+      }
+      cluster.events.at(startedNanos, () -> cluster.noticeChanges(0.3, 2));
+      cluster.events.runUntil(END_NANOS);
+      String what = "all started again, seed " + seed;
+      assertBoundHolds(cluster, what);
+      assertOwedIsServed(cluster, 4, startedNanos + 4 * SECOND, END_NANOS - SECOND, what);
+    }
+  }
+
   @Test
   void lowerQuotaBindsOnceAllVmsHaveIt() {
     QuotaCluster cluster = new QuotaCluster(100, 5);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -96,11 +96,15 @@
   private int aliveInOwnZone = 1;
 
   private volatile boolean leaving;
+  private boolean vmListRead;
   private long lastVmListReadNanos = Long.MIN_VALUE / 2;
   private long lastLinkCheckNanos = Long.MIN_VALUE / 2;
 
   /** Receives changes of the control state, on the control thread. */
   interface StateListener extends DeploymentState.Listener {
+    /** Called when the platform's list of VMs was read; this one counts. */
+    void onVmsListed(int count);
+
     /** Called when the view of the VMs has changed. */
     void onMembers(MemberView view);
 
@@ -270,14 +274,18 @@
 
   private void readVmList(long nowNanos) {
     boolean alone = memberView.get().statuses().size() <= 1;
-    if (nowNanos - lastVmListReadNanos < VM_LIST_INTERVAL_NANOS || !alone) {
+    if (nowNanos - lastVmListReadNanos < VM_LIST_INTERVAL_NANOS || !(alone || !vmListRead)) {
       return;
     }
     lastVmListReadNanos = nowNanos;
-    vmList
-        .read()
-        .whenResult(
-            read -> read.peek(list -> execute(membership.applyVmList(clock.getAsLong(), list))));
+    vmList.read().whenResult(read -> read.peek(this::applyVmList));
+  }
+
+  private void applyVmList(List<Member> list) {
+    vmListRead = true;
+    long others = list.stream().filter(member -> !member.vm().equals(settings.vm())).count();
+    stateListener.onVmsListed((int) others + 1);
+    execute(membership.applyVmList(clock.getAsLong(), list));
   }
 
   /**
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -228,6 +228,11 @@
         });
   }
 
+  @Override
+  public void onVmsListed(int count) {
+    eventloop.execute(() -> quotas.setListedVms(count));
+  }
+
   @Override
   public void onMembers(MemberView view) {
     eventloop.execute(
--- a/entry/src/main/java/org/mustardstage/entry/gateway/QuotaGate.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/QuotaGate.java
@@ -76,6 +76,11 @@
     quotas.setMembers(clock.getAsLong(), view);
   }
 
+  /** Records how many VMs the platform lists, this one included. */
+  void setListedVms(int count) {
+    quotas.setListedVms(count);
+  }
+
   /** Applies a message of another VM. */
   void applyMessage(VmId from, QuotaMessage message) {
     quotas.applyMessage(clock.getAsLong(), from, message);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -214,6 +214,9 @@
       endpoints.add(usable);
     }
 
+    @Override
+    public void onVmsListed(int count) {}
+
     @Override
     public void onMembers(MemberView view) {}
 
