--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -26,6 +26,7 @@
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.core.gateway.ServiceSpec;
 import org.mustardstage.core.gateway.WeightedService;
+import org.mustardstage.core.hedge.HedgeSettings;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ServiceName;
@@ -34,6 +35,7 @@
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.placement.RegionShiftLimit;
 import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.core.quota.QuotaSettings;
 import org.mustardstage.entry.platform.VmList;
 
 /** Runs a gateway between real sockets of callers and two endpoints, before each test. */
@@ -138,7 +140,7 @@
         .header("X-Deadline-Ms", "30000");
   }
 
-  private static GatewaySettings settings(HostAndPort address, HostAndPort metricsAddress)
+  private GatewaySettings settings(HostAndPort address, HostAndPort metricsAddress)
       throws IOException {
     ZoneId zone = new ZoneId("north-a");
     RegionId region = new RegionId("north");
@@ -161,7 +163,14 @@
         new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
         OptionalLong.empty(),
         420,
-        "info");
+        "info",
+        QuotaSettings.defaults(),
+        hedging());
+  }
+
+  /** Returns the limit on hedges, which tests of hedging override. */
+  HedgeSettings hedging() {
+    return HedgeSettings.OFF;
   }
 
   private GatewayConfig config() {
