--- a/core/src/main/java/org/mustardstage/core/placement/EndpointChooser.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointChooser.java
@@ -29,6 +29,9 @@
   /** Free slots of an endpoint that tenants above their share leave to others, as a share. */
   private static final double RESERVED_SLOTS_SHARE = 0.25;
 
+  /** A few times the interval in which queued requests are reconsidered, so that none misses it. */
+  private static final double LAST_CHANCE_NANOS = 20e6;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final RoundTripEstimates roundTrips;
@@ -79,6 +82,19 @@
     Optional<Candidate> placeableNow() {
       return best.filter(Candidate::hasFreeSlot);
     }
+
+    /**
+     * Returns the best candidate with a free slot if it meets the objective now but not much later.
+     * A request that waits for a better one, such as the endpoint of the own region that has its
+     * key warm, must not wait until only late responses are left.
+     */
+    Optional<Candidate> lastInTime(long nowNanos, SchedulerRequest request) {
+      return bestFree.filter(
+          free -> {
+            double spareNanos = request.holdDeadlineNanos() - nowNanos - free.responseNanos();
+            return spareNanos >= 0 && spareNanos < LAST_CHANCE_NANOS;
+          });
+    }
   }
 
   /**
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -38,9 +38,6 @@
    */
   private static final int MAX_EXAMINED_REQUESTS = 64;
 
-  /** A few times the interval in which queued requests are reconsidered, so that none misses it. */
-  private static final double LAST_CHANCE_NANOS = 20e6;
-
   private static final long MIN_RETRY_AFTER_MILLIS = 80;
   private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
 
@@ -304,7 +301,7 @@
     if (choice.best().isEmpty()) {
       return Optional.of(reject(nowNanos, request, RejectionReason.NO_ENDPOINT));
     }
-    Optional<Candidate> lastInTime = lastInTime(nowNanos, request, choice);
+    Optional<Candidate> lastInTime = choice.lastInTime(nowNanos, request);
     if (lastInTime.isPresent()) {
       return Optional.of(place(nowNanos, request, lastInTime.get()));
     }
@@ -314,22 +311,6 @@
     return Optional.empty();
   }
 
-  /**
-   * Returns the best candidate with a free slot if it meets the objective now but not much later. A
-   * request that waits for a better one, such as the endpoint of the own region that has its key
-   * warm, must not wait until only late responses are left.
-   */
-  private static Optional<Candidate> lastInTime(
-      long nowNanos, SchedulerRequest request, EndpointChooser.Choice choice) {
-    return choice
-        .bestFree()
-        .filter(
-            free -> {
-              double spareNanos = request.holdDeadlineNanos() - nowNanos - free.responseNanos();
-              return spareNanos >= 0 && spareNanos < LAST_CHANCE_NANOS;
-            });
-  }
-
   /**
    * Places a request that will miss its objective if a slot is free, and rejects it otherwise. A
    * late response is better than none, but not worth a slot that another request could use.
