Let the only sender of a limited endpoint send to it when no request prefers it

Cause: only the elected VM sends to an endpoint that has named a limit, and it places a request by its key.

Change: an endpoint with a limit to which its only sender has sent nothing for 1.5 s gets the next request that meets its objective there, as far as the limit allows. Without a limit nothing changes.

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
@@ -36,6 +36,12 @@
   /** The rate of trials while the limit is smaller or 0. */
   private static final double MIN_TRIALS_PER_SECOND = 0.1;
 
+  /**
+   * How long the only sender leaves an endpoint without a request, so that it soon sees the limit
+   * end.
+   */
+  private static final long NEGLECTED_NANOS = 1_500_000_000L;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   /** How long a limit is remembered of which nothing is heard: a day. */
@@ -55,8 +61,10 @@
     private long trialsFromNanos;
 
     private long reportedNanos;
+    private long sentNanos;
 
     Limit(long nowNanos) {
+      this.sentNanos = nowNanos;
       this.bucket = new TokenBucket(nowNanos, 0, BURST_REQUESTS, /* initialTokens= */ 0);
     }
   }
@@ -108,6 +116,19 @@
     return (share > 0 && limit.bucket.hasToken(nowNanos)) || isTrialDue(nowNanos, endpoint, limit);
   }
 
+  /**
+   * Returns whether {@code endpoint} has a limit, this VM is the one that may send to it, and it
+   * has sent nothing for some time. Requests that would rather run elsewhere must then go there, as
+   * no other VM uses the endpoint or notices the end of its limit.
+   */
+  public boolean isNeglected(long nowNanos, RegisteredEndpoint endpoint) {
+    Limit limit = limits.get(EndpointIncarnation.of(endpoint));
+    return limit != null
+        && nowNanos - limit.sentNanos >= NEGLECTED_NANOS
+        && isOnlySender(nowNanos, endpoint)
+        && allowsRequest(nowNanos, endpoint);
+  }
+
   /** Returns which part of the endpoint's limit this VM may use, 0 to 1. */
   double shareOf(long nowNanos, RegisteredEndpoint endpoint) {
     return shares.shareOf(nowNanos, endpoint.id(), regionOf.apply(endpoint.zone()));
@@ -135,6 +156,7 @@
       return;
     }
     limit.bucket.takeToken(nowNanos);
+    limit.sentNanos = nowNanos;
     if (nowNanos - limit.trialsFromNanos >= 0) {
       int followingVms = shares.memberCount() - rankOf(endpoint);
       limit.trialsFromNanos =
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -435,7 +435,9 @@
    */
   private Choice choose(long nowNanos, SchedulerRequest request, double queueWaitNanos) {
     List<Candidate> candidates = candidates(nowNanos, request, queueWaitNanos);
-    Optional<Candidate> required = requiredRegionCandidate(nowNanos, request, candidates);
+    Optional<Candidate> required =
+        neglectedCandidate(nowNanos, request, queueWaitNanos)
+            .or(() -> requiredRegionCandidate(nowNanos, request, candidates));
     if (required.isPresent()) {
       return new Choice(required, required);
     }
@@ -450,6 +452,21 @@
         cheapest(candidates, allowed), cheapest(candidates, allowed.and(Candidate::hasFreeSlot)));
   }
 
+  /**
+   * Returns an endpoint with a limit that only this VM may send to and that no request has chosen
+   * for some time, if it has a free slot and meets the objective even when the key is cold there.
+   */
+  private Optional<Candidate> neglectedCandidate(
+      long nowNanos, SchedulerRequest request, double queueWaitNanos) {
+    return usableEndpoints.stream()
+        .filter(state -> endpointLimits.isNeglected(nowNanos, state.endpoint()))
+        .filter(state -> isEligible(nowNanos, request, state))
+        .map(state -> candidate(nowNanos, request, state, Rank.FIRST, queueWaitNanos))
+        .filter(Candidate::hasFreeSlot)
+        .filter(c -> nowNanos + c.coldResponseNanos() <= request.objectiveDeadlineNanos())
+        .findFirst();
+  }
+
   /**
    * Returns a candidate in the region that must receive the next request to keep the limit on
    * region shifts, if it has a free slot and meets the objective even when the key is cold there.
