Block a request that one VM alone has lost at that VM only

Cause: three losses that one VM reported blocked a request at all VMs, although a VM may lose requests by a fault of its own while its links work.

Change: the VMs that count need losses of two VMs before they block a request everywhere. What a VM has lost itself at three endpoints it blocks for itself, without a message. A request that really crashes endpoints and moves on to other VMs costs one endpoint more than before.

Measured: CrashExchangeTest with 5 to 300 VMs that lose up to 40 of 100 messages. requestThatOneVmAloneLosesIsBlockedOnlyThere failed first with the condition taken out (all 5, 100, 300 and 300 VMs blocked it), and so did CrashingRequestsTest.requestThatOneVmAloneLosesIsNotBlockedUntilAnotherLosesItToo. requestThatMovesOnFromOneVmIsBlockedEverywhereWhenASecondVmLosesIt guards the other side; it was green without the change too. The nine cases before are unchanged and green.

Changed tests: CrashingRequestsTest loses at two VMs in turn, as a report now names its VM; its bounds are the same.

--- a/core/src/main/java/org/mustardstage/core/placement/CrashingRequests.java
+++ b/core/src/main/java/org/mustardstage/core/placement/CrashingRequests.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.mustardstage.core.id.VmId;
 
 /**
  * Recognizes a request that ends each endpoint that runs it, from the attempts that all VMs have
@@ -14,8 +15,9 @@
  *
  * <p>When an endpoint ends, every request that it ran or queued is lost, and nothing tells which
  * one ended it. A request is therefore blocked only when it was lost at three endpoints without a
- * response in between. A block ends after a time, in case it hit the wrong request; if the request
- * is then lost once more, it is blocked at once and for longer.
+ * response in between, and by as many VMs as must agree: what one VM alone has lost may be its own
+ * fault. A block ends after a time, in case it hit the wrong request; if the request is then lost
+ * once more, it is blocked at once and for longer.
  */
 public final class CrashingRequests {
   private static final int CRASHES_UNTIL_BLOCKED = 3;
@@ -31,6 +33,8 @@
   /** Bounds the memory; the requests that were lost least recently are forgotten. */
   private static final int MAX_SUSPECTS = 10_000;
 
+  private final int minReporters;
+
   /** The suspected requests, the one that was lost least recently first. */
   private final Map<RequestFingerprint, Suspect> suspects =
       new LinkedHashMap<>(16, 0.75f, /* accessOrder= */ true);
@@ -39,15 +43,25 @@
 
   private static final class Suspect {
     private final Set<EndpointIncarnation> ended = new HashSet<>();
+    private final Set<VmId> reporters = new HashSet<>();
     private long lastLostNanos;
   }
 
   /**
-   * Records a lost attempt.
+   * Creates an empty set of requests.
+   *
+   * @param minReporters how many VMs must have lost a request before it is blocked
+   */
+  public CrashingRequests(int minReporters) {
+    this.minReporters = minReporters;
+  }
+
+  /**
+   * Records an attempt that {@code reporter} has lost.
    *
    * @return the block that other VMs must hear of, if the request is blocked from now on
    */
-  public Optional<RequestBlock> recordLost(long nowNanos, LostAttempt lost) {
+  public Optional<RequestBlock> recordLost(long nowNanos, VmId reporter, LostAttempt lost) {
     RequestFingerprint fingerprint = lost.fingerprint();
     if (blocked.find(nowNanos, fingerprint).isPresent()) {
       return Optional.empty();
@@ -56,8 +70,11 @@
     Suspect suspect = suspects.computeIfAbsent(fingerprint, key -> new Suspect());
     suspect.lastLostNanos = nowNanos;
     suspect.ended.add(lost.endpoint());
+    suspect.reporters.add(reporter);
     int timesBlocked = blocked.timesBlocked(fingerprint);
-    if (timesBlocked == 0 && suspect.ended.size() < CRASHES_UNTIL_BLOCKED) {
+    if (timesBlocked == 0
+        && (suspect.ended.size() < CRASHES_UNTIL_BLOCKED
+            || suspect.reporters.size() < minReporters)) {
       return Optional.empty();
     }
     RequestBlock block = new RequestBlock(fingerprint, timesBlocked + 1, blockMillis(timesBlocked));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CrashExchange.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CrashExchange.java
@@ -27,12 +27,16 @@
  * <p>Two VMs, chosen by the request's fingerprint, hear of each lost attempt of a request, so that
  * an endpoint that ends with many requests doesn't cause messages between all VMs. All VMs hear of
  * a block: the VM that blocks a request tells all of them several times, and each VM passes it on
- * to two others once, as messages are lost while a link is down. Confined to the control thread.
+ * to two others once, as messages are lost while a link is down. What one VM alone has lost is
+ * blocked at that VM only. Confined to the control thread.
  */
 final class CrashExchange {
   /** Two, so that one of them may fail. */
   private static final int COLLECTORS_PER_REQUEST = 2;
 
+  /** What one VM alone has lost may be the fault of that VM. */
+  private static final int REPORTERS_UNTIL_BLOCKED = 2;
+
   /** To how many VMs each VM passes on a block that is new to it. */
   private static final int PASSED_ON_TO = 2;
 
@@ -43,7 +47,11 @@
   private final LongSupplier clock;
   private final BiConsumer<Member, PeerMessage> sender;
   private final Consumer<List<RequestBlock>> listener;
-  private final CrashingRequests requests = new CrashingRequests();
+  private final CrashingRequests requests = new CrashingRequests(REPORTERS_UNTIL_BLOCKED);
+
+  /** What this VM has lost itself, which blocks a request here only. */
+  private final CrashingRequests ownRequests = new CrashingRequests(/* minReporters= */ 1);
+
   private final List<Repeat> repeats = new ArrayList<>();
 
   /** A block that is told to all VMs again. */
@@ -63,13 +71,20 @@
   /** Reports a lost attempt of this VM, and counts it here too, in case no other VM is reached. */
   void onLost(MemberView view, LostAttempt lost) {
     sendToCollectors(view, lost.fingerprint(), new PeerMessage.AttemptLost(lost));
-    count(view, lost);
+    ownRequests
+        .recordLost(clock.getAsLong(), self, lost)
+        .ifPresent(
+            block -> {
+              log(block, "lost attempts of this VM, so only here");
+              listener.accept(ImmutableList.of(block));
+            });
+    count(view, self, lost);
   }
 
   /** Reports that an endpoint has responded to a request of which an attempt was lost before. */
   void onSurvived(MemberView view, RequestFingerprint fingerprint) {
     sendToCollectors(view, fingerprint, new PeerMessage.RequestSurvived(fingerprint));
-    requests.recordSurvived(fingerprint);
+    onRequestSurvived(fingerprint);
   }
 
   private void sendToCollectors(
@@ -81,7 +96,7 @@
 
   /** Counts an attempt that another VM has lost; tells it if it has missed a block. */
   void onAttemptLost(MemberView view, Member from, LostAttempt lost) {
-    count(view, lost);
+    count(view, from.vm(), lost);
     requests
         .blockOf(clock.getAsLong(), lost.fingerprint())
         .ifPresent(
@@ -91,10 +106,11 @@
   /** Applies that another VM got a response to a request. */
   void onRequestSurvived(RequestFingerprint fingerprint) {
     requests.recordSurvived(fingerprint);
+    ownRequests.recordSurvived(fingerprint);
   }
 
-  private void count(MemberView view, LostAttempt lost) {
-    Optional<RequestBlock> block = requests.recordLost(clock.getAsLong(), lost);
+  private void count(MemberView view, VmId reporter, LostAttempt lost) {
+    Optional<RequestBlock> block = requests.recordLost(clock.getAsLong(), reporter, lost);
     if (block.isEmpty()) {
       return;
     }
