Take a link for working only when the expected endpoint has answered on it

Cause: a probe took a connection for working when it had stayed open for 50 ms.

Change: - Probes are health checks that the expected endpoint must answer; sparse, from a different endpoint at each VM, none while nothing is suspected. - A cut takes eight failed endpoints (four soon after another cut) and ends, if it is repeated, only after endpoints have answered for 2 s. - ReachedEndpoints: a VM that reaches few endpoints uses only those and relays what its scheduler rejects. Events MS0140, MS0141. - With nobody to relay to, a VM that is cut off uses open connections only.

Cuts that come and go were not run without the settling.

Changed tests: EndpointReachabilityTest's probes of a cut VM are one each 400 ms (before 200), so it asks for at most five in 2 s; the names of methods; a different first probe for each VM of CutOffVmsSimulationTest, which now also bounds the health checks at an endpoint (17 a second) and forbids any before the cut.

--- a/core/src/main/java/org/mustardstage/core/placement/LossReports.java
+++ b/core/src/main/java/org/mustardstage/core/placement/LossReports.java
@@ -8,8 +8,9 @@
  * Holds back reports of lost attempts until it is known whether this VM's own links caused them.
  *
  * <p>Handles a VM whose connections are reset or die with its links: it loses all attempts at once,
- * and its reports would block harmless requests at all VMs. A report is due when a connection works
- * that was begun after the loss. If the VM turns out to be cut off, the reports say nothing.
+ * and its reports would block harmless requests at all VMs. A report is due when an endpoint has
+ * answered on a connection that was begun after the loss. If the VM turns out to be cut off, the
+ * reports say nothing.
  *
  * @param <T> the type of a report
  */
@@ -34,7 +35,7 @@
   /** Removes and returns the reports that are due. */
   public ImmutableList<T> takeDue() {
     List<Pending<T>> due =
-        pending.stream().filter(each -> reachability.hasConnectedSince(each.lostNanos())).toList();
+        pending.stream().filter(each -> reachability.hasAnsweredSince(each.lostNanos())).toList();
     pending.removeAll(due);
     return due.stream().map(Pending::report).collect(ImmutableList.toImmutableList());
   }
--- a/core/src/test/java/org/mustardstage/core/placement/CutOffVmsSimulationTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/CutOffVmsSimulationTest.java
@@ -8,7 +8,9 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +43,9 @@
   /** From then on after the cut began, the VMs must know of it. */
   private static final long KNOWN_AFTER_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+  /** What an endpoint bears that is still cold. */
+  private static final int MAX_CHECKS_PER_SECOND = 17;
+
   /** New connections that a VM opens for requests, per second. */
   private static final double CONNECTIONS_PER_SECOND = 3;
 
@@ -51,9 +56,12 @@
   private final List<RegisteredEndpoint> endpoints = new ArrayList<>();
   private final List<Vm> vms = new ArrayList<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
-  private final CrashingRequests collector = new CrashingRequests(/* minReporters= */ 1);
+  private final CrashingRequests collector = new CrashingRequests(/* minReporters= */ 2);
   private final List<RequestBlock> blocks = new ArrayList<>();
 
+  /** The health checks that arrived, by endpoint and second. */
+  private final Map<String, Integer> healthChecks = new HashMap<>();
+
   private record Event(long atNanos, Runnable action) implements Comparable<Event> {
     @Override
     public int compareTo(Event other) {
@@ -62,9 +70,15 @@
   }
 
   private static final class Vm {
-    private final EndpointReachability reachability = new EndpointReachability();
-    private final LossReports<LostAttempt> reports = new LossReports<>(reachability);
+    private final EndpointReachability reachability;
+    private final LossReports<LostAttempt> reports;
+    private final CrashingRequests ownRequests = new CrashingRequests(/* minReporters= */ 1);
     private boolean linked = true;
+
+    Vm(SplittableRandom random) {
+      reachability = new EndpointReachability(random);
+      reports = new LossReports<>(reachability);
+    }
   }
 
   @ParameterizedTest
@@ -107,6 +121,9 @@
 
     assertThat(cutOffCounts.stream().filter(wrong -> wrong > 0).toList(), is(empty()));
     assertThat(vms.stream().filter(vm -> vm.reachability.isCutOff()).toList(), hasSize(0));
+    assertThat(
+        healthChecks.values().stream().max(Integer::compare).orElse(0),
+        is(lessThanOrEqualTo(MAX_CHECKS_PER_SECOND)));
     assertThat(blocks.size(), is(lessThanOrEqualTo(1)));
   }
 
@@ -124,7 +141,7 @@
               1));
     }
     for (int i = 0; i < VMS; i++) {
-      Vm vm = new Vm();
+      Vm vm = new Vm(random.split());
       vm.reachability.setEndpoints(endpoints);
       vms.add(vm);
     }
@@ -162,6 +179,13 @@
 
   private void step(long nowNanos, Vm vm, boolean refused, int deadEndpoints) {
     List<RegisteredEndpoint> connects = new ArrayList<>(vm.reachability.takeProbes(nowNanos));
+    if (vm.linked) {
+      connects.forEach(
+          endpoint ->
+              healthChecks.merge(
+                  endpoint.id() + "/" + TimeUnit.NANOSECONDS.toSeconds(nowNanos), 1, Integer::sum));
+    }
+    assertThat(nowNanos >= CUT_NANOS || connects.isEmpty(), is(true));
     double stepSeconds = STEP_NANOS / 1e9;
     if (!vm.reachability.isCutOff() && random.nextDouble() < CONNECTIONS_PER_SECOND * stepSeconds) {
       connects.add(endpoints.get(random.nextInt(endpoints.size())));
@@ -169,20 +193,21 @@
     for (RegisteredEndpoint endpoint : connects) {
       boolean works = vm.linked && endpoints.indexOf(endpoint) >= deadEndpoints;
       if (works) {
-        vm.reachability.recordConnected(nowNanos);
+        vm.reachability.recordAnswered(nowNanos);
       } else {
         events.add(
             new Event(
                 nowNanos + (refused ? REFUSED_AFTER_NANOS : TIMED_OUT_AFTER_NANOS),
-                () -> vm.reachability.recordConnectFailed(nowNanos, endpoint.id())));
+                () -> vm.reachability.recordFailed(nowNanos, endpoint.id())));
       }
     }
     if (vm.reachability.isCutOff()) {
       vm.reports.drop();
     }
+    VmId id = new VmId("vm-" + vms.indexOf(vm));
     for (LostAttempt lost : vm.reports.takeDue()) {
-      VmId reporter = new VmId("vm-" + vms.indexOf(vm));
-      collector.recordLost(nowNanos, reporter, lost).ifPresent(blocks::add);
+      vm.ownRequests.recordLost(nowNanos, id, lost).ifPresent(blocks::add);
+      collector.recordLost(nowNanos, id, lost).ifPresent(blocks::add);
     }
   }
 }
--- a/core/src/test/java/org/mustardstage/core/placement/EndpointReachabilityTest.java
+++ b/core/src/test/java/org/mustardstage/core/placement/EndpointReachabilityTest.java
@@ -2,14 +2,17 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -25,7 +28,8 @@
   private static final int ZONES = 4;
   private static final int ENDPOINTS_PER_ZONE = 5;
 
-  private final EndpointReachability reachability = new EndpointReachability();
+  private final EndpointReachability reachability =
+      new EndpointReachability(new SplittableRandom(1));
   private final List<RegisteredEndpoint> endpoints = new ArrayList<>();
   private long nowNanos;
 
@@ -52,7 +56,7 @@
   }
 
   private void fail(RegisteredEndpoint endpoint) {
-    reachability.recordConnectFailed(nowNanos, endpoint.id());
+    reachability.recordFailed(nowNanos, endpoint.id());
   }
 
   private void advanceMillis(long millis) {
@@ -67,7 +71,7 @@
       for (RegisteredEndpoint probed : reachability.takeProbes(nowNanos)) {
         probes++;
         if (reachableZones.contains(probed.zone().value())) {
-          reachability.recordConnected(nowNanos);
+          reachability.recordAnswered(nowNanos);
         } else {
           fail(probed);
         }
@@ -134,7 +138,7 @@
     assertThat(reachability.isCutOff(), is(true));
     advanceMillis(5_000);
     assertThat(reachability.isCutOff(), is(true));
-    reachability.recordConnected(nowNanos);
+    reachability.recordAnswered(nowNanos);
 
     assertThat(reachability.state(), is(State.REACHABLE));
     assertThat(reachability.failedEndpoints(), is(0));
@@ -146,8 +150,8 @@
     endpoints.forEach(this::fail);
     long duringCutNanos = nowNanos;
     advanceMillis(300);
-    reachability.recordConnected(nowNanos);
-    endpoints.forEach(each -> reachability.recordConnectFailed(duringCutNanos, each.id()));
+    reachability.recordAnswered(nowNanos);
+    endpoints.forEach(each -> reachability.recordFailed(duringCutNanos, each.id()));
 
     assertThat(reachability.state(), is(State.REACHABLE));
   }
@@ -158,17 +162,17 @@
     long beforeCutNanos = nowNanos;
     advanceMillis(300);
     endpoints.forEach(this::fail);
-    reachability.recordConnected(beforeCutNanos);
+    reachability.recordAnswered(beforeCutNanos);
 
     assertThat(reachability.isCutOff(), is(true));
-    assertThat(reachability.hasConnectedSince(nowNanos), is(false));
+    assertThat(reachability.hasAnsweredSince(nowNanos), is(false));
   }
 
   @Test
   void probesOfAVmThatIsCutOffGoToAllZonesAndStayFew() {
     endpoints.forEach(this::fail);
     List<RegisteredEndpoint> probes = new ArrayList<>();
-    for (int i = 0; i < 100; i++) {
+    for (int i = 0; i < 200; i++) {
       advanceMillis(10);
       probes.addAll(reachability.takeProbes(nowNanos));
     }
@@ -179,6 +183,57 @@
     assertThat(zones, hasSize(ZONES));
   }
 
+  @Test
+  void suspicionThatStaysIsCheckedLessOften() {
+    reachability.recordSuspicion(nowNanos);
+    int probes = 0;
+    for (int i = 0; i < 1_000; i++) {
+      advanceMillis(10);
+      probes += reachability.takeProbes(nowNanos).size();
+    }
+
+    assertThat(probes, is(lessThanOrEqualTo(55)));
+  }
+
+  /** VMs that are cut off together find out together that the cut has ended. */
+  @Test
+  void vmsProbeDifferentEndpointsFirst() {
+    Set<EndpointId> first = new HashSet<>();
+    for (int i = 0; i < 100; i++) {
+      EndpointReachability each = new EndpointReachability(new SplittableRandom(i));
+      each.setEndpoints(endpoints);
+      each.recordSuspicion(nowNanos);
+      each.takeProbes(nowNanos).forEach(probe -> first.add(probe.id()));
+    }
+
+    assertThat(first.size(), is(greaterThan(endpoints.size() / 2)));
+  }
+
+  /** Otherwise requests are lost each time that the links break again. */
+  @Test
+  void cutThatComesAndGoesEndsWhenEndpointsHaveAnsweredForSomeTime() {
+    endpoints.forEach(this::fail);
+    advanceMillis(1_000);
+    reachability.recordAnswered(nowNanos);
+    assertThat(reachability.state(), is(State.REACHABLE));
+    advanceMillis(1_000);
+    endpoints.forEach(this::fail);
+    for (int i = 0; i < 3; i++) {
+      advanceMillis(1_000);
+      reachability.recordAnswered(nowNanos);
+      advanceMillis(1_000);
+      assertThat(reachability.isCutOff(), is(true));
+      fail(endpoints.getFirst());
+    }
+    for (int i = 0; i < 6; i++) {
+      assertThat(reachability.isCutOff(), is(true));
+      advanceMillis(400);
+      reachability.recordAnswered(nowNanos);
+    }
+
+    assertThat(reachability.state(), is(State.REACHABLE));
+  }
+
   @Test
   void vmWithoutEndpointsIsNotCutOff() {
     endpoints.forEach(this::fail);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
@@ -133,6 +132,13 @@
     return Optional.empty();
   }
 
+  /** Returns whether an idle connection to {@code address} is open that a request may use. */
+  boolean hasIdle(HostAndPort address, boolean idempotent) {
+    Optional<EndpointConnection> idle = acquireIdle(address, System.nanoTime(), idempotent);
+    idle.ifPresent(connection -> pools.get(address).idle.addLast(connection));
+    return idle.isPresent();
+  }
+
   private EndpointConnection create(HostAndPort address) {
     AddressPool pool = pools.computeIfAbsent(address, key -> new AddressPool());
     EndpointConnection[] self = new EndpointConnection[1];
@@ -148,24 +154,35 @@
   }
 
   /**
-   * Opens a connection to {@code address} that no request waits for and keeps it for the next one.
-   * Completes with whether it is still open after {@code holdMillis}, as a connection may be reset
-   * as soon as it is open.
+   * Sends a health check to {@code address} over a new connection, as only that shows whether new
+   * connections work. Returns empty if the connections that may be open are in use.
+   *
+   * @param bytes the encoded health check
    */
-  Promise<Boolean> openIdle(HostAndPort address, long holdMillis) {
+  Optional<Sent> sendHealthCheck(HostAndPort address, byte[] bytes) {
+    AddressPool pool = pools.get(address);
+    if (pool != null && pool.open.size() >= MAX_CONNECTIONS_PER_ADDRESS && !closeOldestIdle(pool)) {
+      return Optional.empty();
+    }
     EndpointConnection connection = create(address);
-    return connection
-        .connect(CONNECT_TIMEOUT)
-        .then(() -> Promises.delay(holdMillis))
-        .then(
-            (opened, e) -> {
-              AddressPool pool = pools.get(address);
-              boolean open = e == null && pool != null && connection.isIdle();
-              if (open) {
-                pool.idle.addFirst(connection);
-              }
-              return Promise.of(open);
-            });
+    return Optional.of(
+        new Sent(
+            connection,
+            connection.connectAndSend(
+                CONNECT_TIMEOUT, /* requestId= */ "", /* withoutBody= */ false, bytes)));
+  }
+
+  /**
+   * Keeps the connection of a health check for a request that finds no other. The check says
+   * nothing about how the endpoint responds to requests, so it does not count as a response.
+   */
+  void keepIdle(HostAndPort address, EndpointConnection connection) {
+    AddressPool pool = pools.get(address);
+    if (pool == null || !connection.isIdle()) {
+      connection.close();
+      return;
+    }
+    pool.idle.addFirst(connection);
   }
 
   private static boolean closeOldestIdle(AddressPool pool) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -97,7 +97,7 @@
             vmConnections,
             new RelaySelector(settings.vm(), RandomGenerator.getDefault()),
             headerNames);
-    this.linkMonitor = new EndpointLinkMonitor(eventloop, endpointConnections);
+    this.linkMonitor = new EndpointLinkMonitor(eventloop, endpointConnections, headerNames);
     linkMonitor.addListener(new CutListener());
     this.callerConnections =
         new CallerConnections(
@@ -184,6 +184,7 @@
     eventloop.execute(
         () -> {
           config = Optional.of(newer);
+          linkMonitor.setServices(newer.services());
           dispatcher.setConfig(newer);
         });
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/HeaderNames.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/HeaderNames.java
@@ -6,6 +6,7 @@
  * @param requestId the id of a request, which endpoints echo in the response
  * @param deadlineMillis how long the sender waits for the response, in milliseconds
  * @param expectedEndpoint the id of the only endpoint that may run the request
+ * @param endpointId the id of the endpoint that responds to a health check
  * @param endpointSeal the endpoint's proof that it produced the response
  * @param notExecuted present if the endpoint did not run the request
  * @param load the endpoint's running requests, queued requests and slots
@@ -17,6 +18,7 @@
     String requestId,
     String deadlineMillis,
     String expectedEndpoint,
+    String endpointId,
     String endpointSeal,
     String notExecuted,
     String load,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/LostAttempts.java
@@ -42,7 +42,7 @@
   void record(RegisteredEndpoint endpoint) {
     count++;
     long lostNanos = System.nanoTime();
-    linkMonitor.recordLost();
+    linkMonitor.recordLost(endpoint);
     reactor.delayBackground(END_DETECTION_MILLIS, () -> reportIfEnded(endpoint, lostNanos));
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Suppliers;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Sets;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
@@ -165,7 +166,7 @@
                     request.arrivalNanos(),
                     objectiveDeadlineNanos,
                     request.deadlineNanos(),
-                    triedEndpoints,
+                    excludedEndpoints(),
                     attemptBudget.nextUse()),
                 decision -> {
                   decidedSynchronously[0] = true;
@@ -176,6 +177,11 @@
     }
   }
 
+  private Set<EndpointId> excludedEndpoints() {
+    Set<EndpointId> unusable = linkMonitor.unusableEndpoints(request.rule().idempotent());
+    return unusable.isEmpty() ? triedEndpoints : Sets.union(triedEndpoints, unusable);
+  }
+
   /** Relays the request to another VM; returns whether that was decided. */
   private boolean startRelay() {
     if (relaying || !attemptBudget.hasAttempt() || !relay.get().hasVm()) {
@@ -304,6 +310,9 @@
       }
       case PlacementDecision.Rejected rejected -> {
         trace.add(rejected.reason().toString());
+        if (linkMonitor.reachesFew() && request.relay().isEmpty() && startRelay()) {
+          return;
+        }
         if (!isInFlight()) {
           finish(failureOutcome(rejected.reason().toString(), rejected.retryAfterMillis()));
         }
@@ -340,7 +349,8 @@
         Math.max(MIN_HEDGE_DELAY_MILLIS, (long) (OVERDUE_FACTOR * current.expectedMillis()));
     current.addTimer(
         reactor.delayBackground(
-            delayMillis, () -> linkMonitor.recordOverdue(current.startedNanos())));
+            delayMillis,
+            () -> linkMonitor.recordOverdue(current.endpoint(), current.startedNanos())));
   }
 
   private void scheduleHedge(RequestAttempt current) {
@@ -435,12 +445,13 @@
   }
 
   private void onResponse(RequestAttempt current, EndpointResponse response) {
-    if (current.isOnNewConnection()) {
-      linkMonitor.recordConnected(current.startedNanos());
-    }
     HeaderNames headerNames = services.headerNames();
     EndpointReport report = EndpointReport.read(response, headerNames);
     ResponseIntegrity integrity = new ResponseIntegrity(headerNames, request.id());
+    if (integrity.isOfExpectedEndpoint(response)) {
+      linkMonitor.recordResponse(
+          current.endpoint(), current.startedNanos(), current.isOnNewConnection());
+    }
     if (integrity.provesNotRun(response)) {
       returnToPool(current);
       if (response.isMisdirected()) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/ResponseIntegrity.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/ResponseIntegrity.java
@@ -28,6 +28,11 @@
     return !response.isSuccess() || response.headers().has(headerNames.endpointSeal());
   }
 
+  /** Returns whether the endpoint that the request was sent to has responded to it. */
+  boolean isOfExpectedEndpoint(EndpointResponse response) {
+    return echoesRequestId(response) && !response.isMisdirected();
+  }
+
   private boolean echoesRequestId(EndpointResponse response) {
     return response.headers().find(headerNames.requestId()).filter(requestId::equals).isPresent();
   }
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -70,9 +70,9 @@
   ENDPOINTS_LOADED(54, Level.INFO),
   /** An endpoint named a limit on its requests, changed it or ended it. */
   ENDPOINT_LIMIT_CHANGED(55, Level.INFO),
-  /** This VM opens no connection to any endpoint any more. */
+  /** No endpoint answers on new connections of this VM any more. */
   ENDPOINTS_CUT_OFF(56, Level.WARN),
-  /** This VM opens connections to endpoints again. */
+  /** Endpoints answer on new connections of this VM again. */
   ENDPOINTS_REACHED_AGAIN(57, Level.INFO),
   /** A request has its outcome. */
   REQUEST_ENDED(60, Level.INFO),
@@ -83,7 +83,11 @@
   /** The control thread caught an unexpected exception. */
   CONTROL_FAULT(90, Level.ERROR),
   /** The traffic thread caught an unexpected exception. */
-  TRAFFIC_FAULT(91, Level.ERROR);
+  TRAFFIC_FAULT(91, Level.ERROR),
+  /** Most endpoints don't answer this VM, which uses only the others. */
+  FEW_ENDPOINTS_REACHED(140, Level.WARN),
+  /** Most endpoints answer this VM again. */
+  MOST_ENDPOINTS_REACHED(141, Level.INFO);
 
   private final int number;
   private final Level level;
--- a/entry/src/test/java/org/mustardstage/entry/gateway/CutTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/CutTestBed.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -13,8 +14,10 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -31,7 +34,7 @@
   static final int VMS = 6;
   static final long DEADLINE_MILLIS = 2_000;
 
-  private static final int ENDPOINTS = 8;
+  static final int ENDPOINTS = 8;
   private static final int CALLERS_PER_VM = 2;
   private static final int OBJECTS = 40;
   private static final long WORK_MILLIS = 40;
@@ -42,6 +45,8 @@
   private static final int STATUS_UNAVAILABLE = 503;
   private static final int ALWAYS_ALLOWED_FAILURES = 10;
   private static final int TRIES_PER_ALLOWED_FAILURE = 50;
+  private static final double MIN_CUT_SHARE = 0.9;
+  private static final double MIN_SERVED_SHARE = 0.97;
 
   private final HttpClient client = HttpClient.newHttpClient();
   private final IntFunction<String> pathOfRequest;
@@ -130,9 +135,14 @@
 
   /** Cuts the links of the first {@code vms} VMs to all endpoints. */
   void cut(CuttableLink.Cut how, int vms) throws IOException {
+    cut(vms, Collections.nCopies(ENDPOINTS, how));
+  }
+
+  /** Cuts the links of the first {@code vms} VMs to as many endpoints as {@code cuts} has. */
+  void cut(int vms, List<CuttableLink.Cut> cuts) throws IOException {
     for (List<CuttableLink> links : linksByVm.subList(0, vms)) {
-      for (CuttableLink link : links) {
-        link.cut(how);
+      for (int i = 0; i < cuts.size(); i++) {
+        links.get(i).cut(cuts.get(i));
       }
     }
   }
@@ -179,6 +189,39 @@
         is(lessThanOrEqualTo(allowedFailures(measured))));
   }
 
+  /**
+   * Asserts that the callers of cut VMs were served at least nine tenths as often as the others,
+   * and these at least 97 times of 100.
+   */
+  static void assertServedNearlyAsOften(
+      String cuts, List<Call> duringCut, int cutVms, List<Call> after) {
+    double cut = servedShare(duringCut.stream().filter(call -> call.vm() < cutVms).toList());
+    double others =
+        cutVms == VMS
+            ? 0
+            : servedShare(duringCut.stream().filter(call -> call.vm() >= cutVms).toList());
+    double afterwards = servedShare(after);
+    String shares =
+        String.format(
+            Locale.ROOT,
+            "%s at %d VMs: served there %.3f, elsewhere %.3f, after the cut %.3f",
+            cuts,
+            cutVms,
+            cut,
+            others,
+            afterwards);
+    assertThat(shares, cut, is(greaterThanOrEqualTo(MIN_CUT_SHARE * others)));
+    if (cutVms < VMS) {
+      assertThat(shares, others, is(greaterThanOrEqualTo(MIN_SERVED_SHARE)));
+    }
+    assertThat(shares, afterwards, is(greaterThanOrEqualTo(MIN_SERVED_SHARE)));
+  }
+
+  private static double servedShare(List<Call> measured) {
+    assertThat(measured.size(), is(greaterThan(TRIES_PER_ALLOWED_FAILURE)));
+    return (double) measured.stream().filter(Call::isServed).count() / measured.size();
+  }
+
   static int allowedFailures(List<Call> measured) {
     return ALWAYS_ALLOWED_FAILURES + measured.size() / TRIES_PER_ALLOWED_FAILURE;
   }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/CuttableLink.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/CuttableLink.java
@@ -11,6 +11,7 @@
 import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.LockSupport;
@@ -32,13 +33,27 @@
   /** What a cut does to connections. */
   enum Cut {
     /** Open connections carry nothing, and new ones are not accepted until the cut ends. */
-    HANG,
+    HANG(0),
     /** Open connections are reset, and new ones are refused. */
-    RESET,
+    RESET(0),
     /** Open connections are reset, and new ones are accepted and then reset. */
-    RESET_ACCEPTED,
+    RESET_ACCEPTED(0),
     /** Open connections go on, and new ones are refused. */
-    REFUSE_NEW
+    REFUSE_NEW(0),
+    /** Open connections go on, and new ones are accepted and then reset. */
+    RESET_NEW(0),
+    /** Open connections carry nothing, nor do new ones, which are accepted. */
+    SILENT(0),
+    /** Open connections are reset, and new ones are accepted and reset after a time. */
+    RESET_AFTER_20(20),
+    RESET_AFTER_100(100),
+    RESET_AFTER_300(300);
+
+    private final long resetAfterMillis;
+
+    Cut(long resetAfterMillis) {
+      this.resetAfterMillis = resetAfterMillis;
+    }
   }
 
   private final HostAndPort target;
@@ -48,7 +63,7 @@
   private final Object hangLock = new Object();
   private ServerSocket server;
   private boolean hanging;
-  private volatile boolean resetting;
+  private volatile Optional<Cut> resetting = Optional.empty();
 
   CuttableLink(HostAndPort target) throws IOException {
     this.target = target;
@@ -74,9 +89,15 @@
         fillBacklog();
       }
       case RESET -> resetAll();
-      case RESET_ACCEPTED -> {
+      case RESET_ACCEPTED, RESET_AFTER_20, RESET_AFTER_100, RESET_AFTER_300 -> {
         resetAll();
-        resetting = true;
+        listenAndReset(how);
+      }
+      case RESET_NEW -> listenAndReset(how);
+      case SILENT -> {
+        synchronized (hangLock) {
+          hanging = true;
+        }
         listen(BACKLOG);
         acceptFrom(server);
       }
@@ -84,6 +105,12 @@
     }
   }
 
+  private void listenAndReset(Cut how) throws IOException {
+    resetting = Optional.of(how);
+    listen(BACKLOG);
+    acceptFrom(server);
+  }
+
   /** Ends a cut. What open connections held back arrives. */
   synchronized void restore() throws IOException {
     server.close();
@@ -91,7 +118,7 @@
       filler.close();
     }
     fillers.clear();
-    resetting = false;
+    resetting = Optional.empty();
     listen(BACKLOG);
     acceptFrom(server);
     synchronized (hangLock) {
@@ -172,14 +199,25 @@
   }
 
   private void accept(Socket near) throws IOException {
-    if (resetting) {
-      setToReset(near);
-      near.close();
+    Optional<Cut> cut = resetting;
+    if (cut.isPresent()) {
+      Thread.ofVirtual().start(() -> resetLater(near, cut.get().resetAfterMillis));
     } else {
       forward(near);
     }
   }
 
+  private static void resetLater(Socket near, long afterMillis) {
+    try (near) {
+      Thread.sleep(afterMillis);
+      near.setSoLinger(true, 0);
+    } catch (IOException e) {
+      // The VM has closed the connection.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void forward(Socket near) throws IOException {
     Socket far = new Socket(target.host(), target.port());
     sockets.add(near);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -123,7 +123,7 @@
     return new GatewayConfig(
         new ConfigVersion(1),
         new CallerLimits(16_384, 1 << 20, 3_000, 15_000),
-        List.of(new ServiceSpec(SERVICE, "/health", 700, 3_000, 17)),
+        List.of(new ServiceSpec(SERVICE, FakeEndpoint.HEALTH_PATH, 700, 3_000, 17)),
         Map.of("127.0.0.1", List.of(all, once)));
   }
 
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeEndpoint.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeEndpoint.java
@@ -34,6 +34,8 @@
     }
   }
 
+  static final String HEALTH_PATH = "/health";
+
   private final String id;
   private final ServerSocket server;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -132,6 +134,10 @@
       InputStream in = new BufferedInputStream(socket.getInputStream());
       while (!socket.isClosed()) {
         ReceivedRequest request = read(in);
+        if (request.requestLine().startsWith("GET " + HEALTH_PATH + " ")) {
+          respond(request, socket, "200 OK", "X-Instance-Id: " + id + "\r\n", "");
+          continue;
+        }
         receivedRequests.add(request);
         handler.handle(request, socket);
       }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -235,7 +235,16 @@
     @Override
     public HeaderNames headerNames() {
       return new HeaderNames(
-          "Id", "Deadline", "Expected", "Seal", "Not-Run", "Load", "Leaving", "Limit", "Object");
+          "Id",
+          "Deadline",
+          "Expected",
+          "Self",
+          "Seal",
+          "Not-Run",
+          "Load",
+          "Leaving",
+          "Limit",
+          "Object");
     }
 
     @Override
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -51,6 +51,7 @@
           "X-Request-Id",
           "X-Deadline-Ms",
           "X-Expect-Instance",
+          "X-Instance-Id",
           "X-Server-Seal",
           "X-Not-Executed",
           "X-Server-Load",
--- a/entry/src/test/java/org/mustardstage/entry/gateway/RelayTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/RelayTest.java
@@ -126,6 +126,17 @@
     assertThat(endpoint.receivedRequests().size() - runsBefore, is(1));
   }
 
+  /** Neither VM knows whether it ran, so neither repeats it nor says that it did not. */
+  @Test
+  void requestThatMayRunOnceRunsOnceWhenTheEndpointBehindTheOtherVmGoesSilent() throws Exception {
+    int runsBefore = endpoint.receivedRequests().size();
+    handler.set((request, socket) -> Thread.sleep(TimeUnit.SECONDS.toMillis(5)));
+
+    assertThat(call(FakeDeployment.ONCE_PREFIX + "2"), is(504));
+    Thread.sleep(1_000);
+    assertThat(endpoint.receivedRequests().size() - runsBefore, is(1));
+  }
+
   @Test
   void requestThatMayBeRepeatedIsSentAgainByTheOtherVmWithinItsAttempts() throws Exception {
     int runsBefore = endpoint.receivedRequests().size();
