--- a/core/src/main/java/org/mustardstage/core/placement/EndpointChooser.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointChooser.java
@@ -29,6 +29,9 @@
   /** Free slots of an endpoint that tenants above their share leave to others, as a share. */
   private static final double RESERVED_SLOTS_SHARE = 0.25;
 
+  /** A few times the interval in which queued requests are reconsidered, so that none misses it. */
+  private static final double LAST_CHANCE_NANOS = 20e6;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final RoundTripEstimates roundTrips;
@@ -79,6 +82,19 @@
     Optional<Candidate> placeableNow() {
       return best.filter(Candidate::hasFreeSlot);
     }
+
+    /**
+     * Returns the best candidate with a free slot if it meets the objective now but not much later.
+     * A request that waits for a better one, such as the endpoint of the own region that has its
+     * key warm, must not wait until only late responses are left.
+     */
+    Optional<Candidate> lastInTime(long nowNanos, SchedulerRequest request) {
+      return bestFree.filter(
+          free -> {
+            double spareNanos = request.holdDeadlineNanos() - nowNanos - free.responseNanos();
+            return spareNanos >= 0 && spareNanos < LAST_CHANCE_NANOS;
+          });
+    }
   }
 
   /**
@@ -90,7 +106,9 @@
   Choice choose(
       long nowNanos, SchedulerRequest request, boolean aboveShare, double queueWaitNanos) {
     List<Candidate> candidates = candidates(nowNanos, request, aboveShare, queueWaitNanos);
-    Optional<Candidate> required = requiredRegionCandidate(nowNanos, request, candidates);
+    Optional<Candidate> required =
+        neglectedCandidate(nowNanos, request, aboveShare, queueWaitNanos)
+            .or(() -> requiredRegionCandidate(nowNanos, request, candidates));
     if (required.isPresent()) {
       return new Choice(required, required);
     }
@@ -105,6 +123,21 @@
         cheapest(candidates, allowed), cheapest(candidates, allowed.and(Candidate::hasFreeSlot)));
   }
 
+  /**
+   * Returns an endpoint with a limit that only this VM may send to and that no request has chosen
+   * for some time, if it has a free slot and is expected to meet the objective.
+   */
+  private Optional<Candidate> neglectedCandidate(
+      long nowNanos, SchedulerRequest request, boolean aboveShare, double queueWaitNanos) {
+    return usableEndpoints.stream()
+        .filter(state -> endpointLimits.isNeglected(nowNanos, state.endpoint()))
+        .filter(state -> isEligible(nowNanos, request, state))
+        .map(state -> candidate(nowNanos, request, aboveShare, state, Rank.FIRST, queueWaitNanos))
+        .filter(Candidate::hasFreeSlot)
+        .filter(c -> nowNanos + c.responseNanos() <= request.objectiveDeadlineNanos())
+        .findFirst();
+  }
+
   /**
    * Returns a candidate in the region that must receive the next request to keep the limit on
    * region shifts, if it has a free slot and is expected to meet the objective.
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -183,6 +183,9 @@
     long nowNanos = System.nanoTime();
     metrics.recordOutcome(
         request.rule(), request.tenant(), outcome, nowNanos - request.arrivalNanos());
+    if (execution.isHedged()) {
+      metrics.recordHedge(request.service(), execution.isOvertaken());
+    }
     if (execution.lostAttempts() > 0) {
       EventLog.log(
           Event.ATTEMPTS_LOST,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Suppliers;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Sets;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
@@ -58,6 +59,9 @@
 
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
+  /** Stands in the trace before the endpoint of a hedge. */
+  private static final String HEDGE = "HEDGE";
+
   private final GatewayServices services;
   private final NioReactor reactor;
   private final EndpointConnectionPool connections;
@@ -130,6 +134,16 @@
     return trace;
   }
 
+  /** Returns whether a slow attempt had a hedge beside it. */
+  boolean isHedged() {
+    return trace.contains(HEDGE);
+  }
+
+  /** Returns whether the hedge responded before the slow attempt. */
+  boolean isOvertaken() {
+    return trace.stream().anyMatch(entry -> entry.contains(Status.OVERTAKEN.name()));
+  }
+
   /** Returns how many attempts ended without a response because their connection was lost. */
   int lostAttempts() {
     return lostAttempts.count();
@@ -203,10 +217,15 @@
         request.arrivalNanos(),
         objectiveDeadlineNanos,
         request.deadlineNanos(),
-        triedEndpoints,
+        excludedEndpoints(),
         attemptBudget.nextUse());
   }
 
+  private Set<EndpointId> excludedEndpoints() {
+    Set<EndpointId> unusable = linkMonitor.unusableEndpoints(request.rule().idempotent());
+    return unusable.isEmpty() ? triedEndpoints : Sets.union(triedEndpoints, unusable);
+  }
+
   /** Relays the request to another VM; returns whether that was decided. */
   private boolean startRelay() {
     if (relaying || !attemptBudget.hasAttempt() || !relay.get().hasVm()) {
@@ -345,6 +364,9 @@
       case PlacementDecision.Rejected rejected -> {
         permit.putBack();
         trace.add(rejected.reason().toString());
+        if (linkMonitor.reachesFew() && request.relay().isEmpty() && startRelay()) {
+          return;
+        }
         if (!isInFlight()) {
           finish(failureOutcome(rejected.reason().toString(), rejected.retryAfterMillis()));
         }
@@ -393,7 +415,8 @@
         Math.max(MIN_HEDGE_DELAY_MILLIS, (long) (OVERDUE_FACTOR * current.expectedMillis()));
     current.addTimer(
         reactor.delayBackground(
-            delayMillis, () -> linkMonitor.recordOverdue(current.startedNanos())));
+            delayMillis,
+            () -> linkMonitor.recordOverdue(current.endpoint(), current.startedNanos())));
   }
 
   private void scheduleHedge(RequestAttempt current) {
@@ -455,7 +478,7 @@
         .placeHedge(placementRequest())
         .ifPresent(
             placed -> {
-              trace.add("HEDGE");
+              trace.add(HEDGE);
               current.markInTail();
               onDecision(placed);
             });
@@ -520,12 +543,13 @@
   }
 
   private void onResponse(RequestAttempt current, EndpointResponse response) {
-    if (current.isOnNewConnection()) {
-      linkMonitor.recordConnected(current.startedNanos());
-    }
     HeaderNames headerNames = services.headerNames();
     EndpointReport report = EndpointReport.read(response, headerNames);
     ResponseIntegrity integrity = new ResponseIntegrity(headerNames, request.id());
+    if (integrity.isOfExpectedEndpoint(response)) {
+      linkMonitor.recordResponse(
+          current.endpoint(), current.startedNanos(), current.isOnNewConnection());
+    }
     if (integrity.provesNotRun(response)) {
       returnToPool(current);
       permit.putBack(current.permit());
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -70,9 +70,9 @@
   ENDPOINTS_LOADED(54, Level.INFO),
   /** An endpoint named a limit on its requests, changed it or ended it. */
   ENDPOINT_LIMIT_CHANGED(55, Level.INFO),
-  /** This VM opens no connection to any endpoint any more. */
+  /** No endpoint answers on new connections of this VM any more. */
   ENDPOINTS_CUT_OFF(56, Level.WARN),
-  /** This VM opens connections to endpoints again. */
+  /** Endpoints answer on new connections of this VM again. */
   ENDPOINTS_REACHED_AGAIN(57, Level.INFO),
   /** A request has its outcome. */
   REQUEST_ENDED(60, Level.INFO),
@@ -95,7 +95,11 @@
   /** A large response ended before the caller had all of it. */
   LARGE_RESPONSE_CUT(131, Level.INFO),
   /** The send buffer of a caller's connection could not be limited. */
-  SEND_BUFFER_NOT_LIMITED(132, Level.DEBUG);
+  SEND_BUFFER_NOT_LIMITED(132, Level.DEBUG),
+  /** Most endpoints don't answer this VM, which uses only the others. */
+  FEW_ENDPOINTS_REACHED(140, Level.WARN),
+  /** Most endpoints answer this VM again. */
+  MOST_ENDPOINTS_REACHED(141, Level.INFO);
 
   private final int number;
   private final Level level;
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -322,6 +322,7 @@
           "Id",
           "Deadline",
           "Expected",
+          "Self",
           "Seal",
           "Not-Run",
           "Load",
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -54,6 +54,7 @@
           "X-Request-Id",
           "X-Deadline-Ms",
           "X-Expect-Instance",
+          "X-Instance-Id",
           "X-Server-Seal",
           "X-Not-Executed",
           "X-Server-Load",
--- a/entry/src/test/java/org/mustardstage/entry/gateway/HedgeTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/HedgeTest.java
@@ -6,7 +6,9 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.BeforeEach;
@@ -41,18 +43,29 @@
     boolean pause = pauses.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
     try {
       Thread.sleep(pause ? PAUSE_MILLIS : USUAL_MILLIS);
-      if (pause && socket.getInputStream().read() < 0) {
+      if (pause && isClosedByVm(socket)) {
         cutOff.incrementAndGet();
         return;
       }
       FakeEndpoint.respondOk(request, socket, "done");
-    } catch (java.io.IOException e) {
+    } catch (IOException e) {
       cutOff.incrementAndGet();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
+  private static boolean isClosedByVm(Socket socket) throws IOException {
+    socket.setSoTimeout(1);
+    try {
+      return socket.getInputStream().read() < 0;
+    } catch (SocketTimeoutException e) {
+      return false;
+    } finally {
+      socket.setSoTimeout(0);
+    }
+  }
+
   private int arrivals() {
     return first.receivedRequests().size() + second.receivedRequests().size();
   }
