--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
@@ -73,6 +73,12 @@
           .help("Endpoints that may get new requests.")
           .labelNames("service", "state")
           .register(registry);
+  private final Counter hedges =
+      Counter.builder()
+          .name("mustardstage_hedges")
+          .help("Hedges, by whether they responded before the first attempt.")
+          .labelNames("service", "end")
+          .register(registry);
   private final TenantLabels tenantLabels = new TenantLabels(MAX_TENANTS);
 
   /**
@@ -97,6 +103,11 @@
     largeRequestsRefused.labelValues(rule.name()).inc();
   }
 
+  /** Records that a request had a hedge, and whether that responded first. */
+  void recordHedge(ServiceName service, boolean won) {
+    hedges.labelValues(service.value(), won ? "won" : "lost").inc();
+  }
+
   /** Records that a request was rejected by its head. */
   void recordRejected(RequestReader.Problem problem) {
     rejected.labelValues(problem.name()).inc();
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -59,6 +59,9 @@
 
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
+  /** Stands in the trace before the endpoint of a hedge. */
+  private static final String HEDGE = "HEDGE";
+
   private final GatewayServices services;
   private final NioReactor reactor;
   private final EndpointConnectionPool connections;
@@ -131,6 +134,16 @@
     return trace;
   }
 
+  /** Returns whether a slow attempt had a hedge beside it. */
+  boolean isHedged() {
+    return trace.contains(HEDGE);
+  }
+
+  /** Returns whether the hedge responded before the slow attempt. */
+  boolean isOvertaken() {
+    return trace.stream().anyMatch(entry -> entry.contains(Status.OVERTAKEN.name()));
+  }
+
   /** Returns how many attempts ended without a response because their connection was lost. */
   int lostAttempts() {
     return lostAttempts.count();
@@ -176,24 +189,12 @@
   }
 
   private void placeWithPermit() {
-    long objectiveDeadlineNanos =
-        request.arrivalNanos()
-            + TimeUnit.MILLISECONDS.toNanos(request.rule().latencyObjectiveMillis());
     boolean[] decidedSynchronously = new boolean[1];
     Placer.PendingPlacement pending =
         services
             .placer()
             .place(
-                new PlacementRequest(
-                    request.service(),
-                    request.rule(),
-                    request.tenant(),
-                    request.affinityKey(),
-                    request.arrivalNanos(),
-                    objectiveDeadlineNanos,
-                    request.deadlineNanos(),
-                    excludedEndpoints(),
-                    attemptBudget.nextUse()),
+                placementRequest(),
                 decision -> {
                   decidedSynchronously[0] = true;
                   onDecision(decision);
@@ -204,6 +205,22 @@
     }
   }
 
+  private PlacementRequest placementRequest() {
+    long objectiveDeadlineNanos =
+        request.arrivalNanos()
+            + TimeUnit.MILLISECONDS.toNanos(request.rule().latencyObjectiveMillis());
+    return new PlacementRequest(
+        request.service(),
+        request.rule(),
+        request.tenant(),
+        request.affinityKey(),
+        request.arrivalNanos(),
+        objectiveDeadlineNanos,
+        request.deadlineNanos(),
+        excludedEndpoints(),
+        attemptBudget.nextUse());
+  }
+
   private Set<EndpointId> excludedEndpoints() {
     Set<EndpointId> unusable = linkMonitor.unusableEndpoints(request.rule().idempotent());
     return unusable.isEmpty() ? triedEndpoints : Sets.union(triedEndpoints, unusable);
@@ -388,6 +405,7 @@
             trace);
     attemptsInFlight.add(current);
     scheduleHedge(current);
+    scheduleTailHedge(current);
     scheduleOverdueCheck(current);
     sent.get().response().whenResult(result -> onAttemptResult(current, result));
   }
@@ -435,6 +453,37 @@
     requestPlacement();
   }
 
+  private void scheduleTailHedge(RequestAttempt current) {
+    if (!request.rule().idempotent()
+        || request.rule().largeResponses()
+        || !attemptBudget.hasAttempt()) {
+      return;
+    }
+    services
+        .placer()
+        .hedgeDelayMillis(request.service(), current.expectedMillis(), remainingMillis())
+        .ifPresent(
+            delayMillis ->
+                current.addTimer(reactor.delay(delayMillis, () -> onTailDelay(current))));
+  }
+
+  /** Hedges the request, as the response takes longer than nearly all recent ones did. */
+  private void onTailDelay(RequestAttempt current) {
+    boolean busy = pendingPlacement.isPresent() || permit.isWaiting() || relaying;
+    if (busy || attemptsInFlight.size() != 1 || !attemptsInFlight.contains(current)) {
+      return;
+    }
+    services
+        .placer()
+        .placeHedge(placementRequest())
+        .ifPresent(
+            placed -> {
+              trace.add(HEDGE);
+              current.markInTail();
+              onDecision(placed);
+            });
+  }
+
   private void onAttemptResult(
       RequestAttempt current, Either<ConnectionFailure, EndpointResponse> result) {
     if (!attemptsInFlight.remove(current)) {
@@ -545,6 +594,8 @@
       requestPlacement();
       return;
     }
+    attemptsInFlight.forEach(RequestAttempt::cancelOvertaken);
+    attemptsInFlight.clear();
     cancelAttempts();
     finish(responded);
   }
