Look for neglected endpoints only while an endpoint has a limit

Change: nothing is looked for while no limit is in force. Decisions are the same. Result: OnlySenderTest, EndpointLimitsTest, ServiceSchedulerTest green; the time of a placement was not measured.

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointChooser.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointChooser.java
@@ -113,6 +113,9 @@
    */
   private Optional<Candidate> neglectedCandidate(
       long nowNanos, SchedulerRequest request, boolean aboveShare, double queueWaitNanos) {
+    if (endpointLimits.areNoneInForce()) {
+      return Optional.empty();
+    }
     return usableEndpoints.stream()
         .filter(state -> endpointLimits.isNeglected(nowNanos, state.endpoint()))
         .filter(state -> isEligible(nowNanos, request, state))
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointLimits.java
@@ -116,6 +116,11 @@
     return (share > 0 && limit.bucket.hasToken(nowNanos)) || isTrialDue(nowNanos, endpoint, limit);
   }
 
+  /** Returns whether no endpoint has a limit, as is usual. */
+  boolean areNoneInForce() {
+    return limits.isEmpty();
+  }
+
   /**
    * Returns whether {@code endpoint} has a limit, this VM is the one that may send to it, and it
    * has sent nothing for some time. Requests that would rather run elsewhere must then go there, as
