--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -274,7 +274,10 @@
 
   private void readVmList(long nowNanos) {
     boolean alone = memberView.get().statuses().size() <= 1;
-    if (nowNanos - lastVmListReadNanos < VM_LIST_INTERVAL_NANOS || !(alone || !vmListRead)) {
+    // The quotas of tenants need the number of VMs only until this VM can know them by itself.
+    boolean needsCount =
+        !vmListRead && nowNanos - createdNanos < MembershipSettings.DISCOVERY_NANOS;
+    if (nowNanos - lastVmListReadNanos < VM_LIST_INTERVAL_NANOS || !(alone || needsCount)) {
       return;
     }
     lastVmListReadNanos = nowNanos;
