--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
@@ -86,49 +86,4 @@
     Preconditions.checkArgument(
         milliCores > 0, "milliCores (1000 * cores * cpuShare) must be positive: %s", milliCores);
   }
-
-  /** Creates settings with {@link QuotaSettings#defaults} and without hedging. */
-  public GatewaySettings(
-      VmId vm,
-      ZoneId zone,
-      RegionId region,
-      Map<ZoneId, RegionId> regions,
-      HostAndPort callerAddress,
-      HostAndPort readinessAddress,
-      Optional<HostAndPort> lookupAddress,
-      HostAndPort peerAddress,
-      HostAndPort metricsAddress,
-      HostAndPort platformAddress,
-      List<HostAndPort> seedPeers,
-      long answerLifetimeMillis,
-      long stopWithinMillis,
-      double repeatShare,
-      int repeatReserve,
-      RegionShiftLimit regionShiftLimit,
-      OptionalLong keyLifetimeMillis,
-      int milliCores,
-      String logLevel) {
-    this(
-        vm,
-        zone,
-        region,
-        regions,
-        callerAddress,
-        readinessAddress,
-        lookupAddress,
-        peerAddress,
-        metricsAddress,
-        platformAddress,
-        seedPeers,
-        answerLifetimeMillis,
-        stopWithinMillis,
-        repeatShare,
-        repeatReserve,
-        regionShiftLimit,
-        keyLifetimeMillis,
-        milliCores,
-        logLevel,
-        QuotaSettings.defaults(),
-        HedgeSettings.OFF);
-  }
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/AttemptPermitTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/AttemptPermitTest.java
@@ -18,6 +18,7 @@
 import java.util.OptionalLong;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.mustardstage.core.hedge.HedgeSettings;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.TenantName;
@@ -30,6 +31,7 @@
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.MembershipSettings;
 import org.mustardstage.core.placement.RegionShiftLimit;
+import org.mustardstage.core.quota.QuotaSettings;
 import org.mustardstage.core.tenant.Tenant;
 import org.mustardstage.core.tenant.TenantDirectory;
 import org.mustardstage.core.tenant.TenantQuota;
@@ -109,7 +111,9 @@
         new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
         OptionalLong.empty(),
         420,
-        "info");
+        "info",
+        QuotaSettings.defaults(),
+        HedgeSettings.OFF);
   }
 
   private AttemptPermit acquire(Optional<TenantName> tenant) {
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -25,6 +25,7 @@
 import org.mustardstage.core.gateway.ServiceSpec;
 import org.mustardstage.core.gateway.StorePosition;
 import org.mustardstage.core.gateway.WeightedService;
+import org.mustardstage.core.hedge.HedgeSettings;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.ServiceName;
@@ -32,6 +33,7 @@
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.placement.RegionShiftLimit;
+import org.mustardstage.core.quota.QuotaSettings;
 import org.mustardstage.entry.platform.PlatformFailure;
 import org.mustardstage.entry.platform.VmList;
 
@@ -107,7 +109,9 @@
             new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
             OptionalLong.empty(),
             420,
-            "info");
+            "info",
+            QuotaSettings.defaults(),
+            HedgeSettings.OFF);
     GatewayProcess vm = new GatewayProcess(settings, new Adapter(addressOfEndpoint, config), 1);
     vm.start();
     vms.add(vm);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -33,6 +33,7 @@
 import org.mustardstage.core.gateway.ServiceSpec;
 import org.mustardstage.core.gateway.StorePosition;
 import org.mustardstage.core.gateway.WeightedService;
+import org.mustardstage.core.hedge.HedgeSettings;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.RegionId;
@@ -46,6 +47,7 @@
 import org.mustardstage.core.placement.RequestBlock;
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.core.quota.QuotaMessage;
+import org.mustardstage.core.quota.QuotaSettings;
 import org.mustardstage.entry.platform.PlatformFailure;
 import org.mustardstage.entry.platform.VmList;
 
@@ -196,7 +198,9 @@
         new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
         keyLifetimeMillis,
         420,
-        "info");
+        "info",
+        QuotaSettings.defaults(),
+        HedgeSettings.OFF);
   }
 
   private static final class RecordingStateListener implements GatewayControl.StateListener {
