--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -45,9 +45,16 @@
   /** Sends a request; returns when its last byte was sent, in seconds. */
   double send(String id, String method, String path, long deadlineMillis, String key, byte[] body)
       throws IOException {
+    return send(id, method, path, deadlineMillis, key, "", body);
+  }
+
+  /** Sends a request with further header lines. */
+  double send(
+      String id, String method, String path, long deadlineMillis, String key, String lines, byte[] body)
+      throws IOException {
     String head =
         method + " " + path + " HTTP/1.1\r\nHost: " + Lab.HOST + "\r\nX-Request-Id: " + id
-            + "\r\nCookie: X-Affinity-Key=" + key + "\r\nX-Deadline-Ms: " + deadlineMillis + "\r\n"
+            + "\r\nCookie: X-Affinity-Key=" + key + "\r\nX-Deadline-Ms: " + deadlineMillis + "\r\n" + lines
             + (method.equals("GET") ? "" : "Content-Length: " + body.length + "\r\n") + "\r\n";
     socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
     socket.getOutputStream().write(body);
