--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -41,13 +41,7 @@
   }
 
   Vm startVm(String name, String host, String zone, String extraSettings) throws IOException {
-    return startVm(name, host, zone, extraSettings, store.address());
-  }
-
-  /** Starts a VM that reaches the store at {@code storeAddress}. */
-  Vm startVm(String name, String host, String zone, String extraSettings, String storeAddress)
-      throws IOException {
-    Vm vm = new Vm(name, host, zone, extraSettings, storeAddress);
+    Vm vm = new Vm(name, host, zone, extraSettings);
     vms.add(vm);
     vm.start();
     return vm;
@@ -112,8 +106,7 @@
     private final Path settings;
     private Process process;
 
-    private Vm(String name, String host, String zone, String extraSettings, String storeAddress)
-        throws IOException {
+    private Vm(String name, String host, String zone, String extraSettings) throws IOException {
       this.name = name;
       this.host = host;
       int[] ports = freePorts(host, 5);
@@ -130,7 +123,7 @@
               + "\"lookupAddress\":\"" + host + ":" + ports[2] + "\","
               + "\"peerAddress\":\"" + host + ":" + ports[3] + "\","
               + "\"metricsAddress\":\"" + host + ":" + ports[4] + "\","
-              + "\"platformAddress\":\"" + storeAddress + "\",\"seedHosts\":[],"
+              + "\"platformAddress\":\"" + store.address() + "\",\"seedHosts\":[],"
               + "\"answerLifetimeMillis\":4000,\"stopWithinSeconds\":6,\"repeatShare\":0.2,"
               + "\"repeatReserve\":120,\"movedShare\":0.15,\"cores\":1,\"cpuShare\":0.42,"
               + extraSettings + "\"logLevel\":\"info\"}");
