--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -61,6 +61,25 @@
     return record.add("sent", vmName, id, method + " " + path + " " + body.length + " bytes").atSeconds();
   }
 
+  /** Sends the head of a request whose body comes in chunks. */
+  void sendHead(String id, String method, String path, long deadlineMillis, String key, String lines)
+      throws IOException {
+    String head =
+        method + " " + path + " HTTP/1.1\r\nHost: " + Lab.HOST + "\r\nX-Request-Id: " + id
+            + "\r\nCookie: X-Affinity-Key=" + key + "\r\nX-Deadline-Ms: " + deadlineMillis + "\r\n" + lines
+            + "\r\n";
+    socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** Sends a chunk of a body; an empty one ends the body. */
+  void sendChunk(byte[] chunk) throws IOException {
+    java.io.ByteArrayOutputStream bytes = new java.io.ByteArrayOutputStream(chunk.length + 16);
+    bytes.writeBytes((Integer.toHexString(chunk.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+    bytes.writeBytes(chunk);
+    bytes.writeBytes("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+    bytes.writeTo(socket.getOutputStream());
+  }
+
   /** Ends the sending side of the connection; what the VM sends can still be read. */
   void endSending(String id) throws IOException {
     socket.shutdownOutput();
