Review case 2: requests that wait for a slot are never answered after their service is dropped

A version that declares a service no longer leaves the requests that wait for its slots without an answer.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,8 +4,8 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 java_home=$(scripts/java-home) || exit 2
-[ -f target/review/EarlyLeave.class ] && [ -x target/platform/runtime/bin/java ] || {
+[ -f target/review/DroppedService.class ] && [ -x target/platform/runtime/bin/java ] || {
   echo "run scripts/build-platform and review/build.sh first" >&2
   exit 2
 }
-exec timeout --signal=TERM 115 "$java_home/bin/java" -cp target/review EarlyLeave review/2
+exec timeout --signal=TERM 115 "$java_home/bin/java" -cp target/review DroppedService review/2
