--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,8 +4,8 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 java_home=$(scripts/java-home) || exit 2
-[ -f target/review/EncodedBody.class ] && [ -x target/platform/runtime/bin/java ] || {
+[ -f target/review/SlowDownloads.class ] && [ -x target/platform/runtime/bin/java ] || {
   echo "run scripts/build-platform and review/build.sh first" >&2
   exit 2
 }
-exec timeout --signal=TERM 115 "$java_home/bin/java" -cp target/review EncodedBody review/3
+exec timeout --signal=TERM 115 "$java_home/bin/java" -Xmx2g -cp target/review SlowDownloads review/3
--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -24,6 +24,7 @@
   final Store store;
   final List<Vm> vms = new ArrayList<>();
   final List<AutoCloseable> closeables = new ArrayList<>();
+  private int descriptors;
 
   Lab(Path folder) throws IOException {
     work = Files.createTempDirectory("review");
@@ -41,7 +42,13 @@
   }
 
   Vm startVm(String name, String host, String zone, String extraSettings) throws IOException {
-    Vm vm = new Vm(name, host, zone, extraSettings);
+    return startVm(name, host, zone, extraSettings, store.address());
+  }
+
+  /** Starts an entry VM that reaches the store at {@code storeAddress}. */
+  Vm startVm(String name, String host, String zone, String extraSettings, String storeAddress)
+      throws IOException {
+    Vm vm = new Vm(name, host, zone, extraSettings, storeAddress);
     vms.add(vm);
     vm.start();
     return vm;
@@ -106,7 +113,8 @@
     private final Path settings;
     private Process process;
 
-    private Vm(String name, String host, String zone, String extraSettings) throws IOException {
+    private Vm(String name, String host, String zone, String extraSettings, String storeAddress)
+        throws IOException {
       this.name = name;
       this.host = host;
       int[] ports = freePorts(host, 5);
@@ -123,7 +131,7 @@
               + "\"lookupAddress\":\"" + host + ":" + ports[2] + "\","
               + "\"peerAddress\":\"" + host + ":" + ports[3] + "\","
               + "\"metricsAddress\":\"" + host + ":" + ports[4] + "\","
-              + "\"platformAddress\":\"" + store.address() + "\",\"seedHosts\":[],"
+              + "\"platformAddress\":\"" + storeAddress + "\",\"seedHosts\":[],"
               + "\"answerLifetimeMillis\":4000,\"stopWithinSeconds\":6,\"repeatShare\":0.2,"
               + "\"repeatReserve\":120,\"movedShare\":0.15,\"cores\":1,\"cpuShare\":0.42,"
               + extraSettings + "\"logLevel\":\"info\"}");
@@ -161,6 +169,14 @@
       process.destroyForcibly();
     }
 
+    /** Opens a connection on which the platform can ask whether the VM is ready. */
+    Socket connectReadiness() throws IOException {
+      Socket socket = new Socket();
+      socket.connect(new InetSocketAddress(host, readyPort), 1_000);
+      socket.setSoTimeout(1_000);
+      return socket;
+    }
+
     boolean isReady() {
       try (Socket socket = new Socket()) {
         socket.connect(new InetSocketAddress(host, readyPort), 500);
@@ -183,10 +199,18 @@
     }
   }
 
+  /** Limits the descriptors of the VMs that are started from now on, as their machines do. */
+  void limitDescriptors(int count) {
+    descriptors = count;
+  }
+
   private List<String> runLine() throws IOException {
     for (String line : Files.readAllLines(repository.resolve("deploy/system.toml"))) {
       if (line.startsWith("run = ")) {
-        return Arrays.asList(line.substring("run = ".length()).replace("\"", "").trim().split(" "));
+        String command = line.substring("run = ".length()).replace("\"", "").trim();
+        return descriptors == 0
+            ? Arrays.asList(command.split(" "))
+            : List.of("/bin/bash", "-c", "set -f; ulimit -n " + descriptors + "; exec " + command);
       }
     }
     throw new IOException("deploy/system.toml has no run line");
