Reject queued requests of a service that a configuration removes

Cause: Dispatcher.setConfig dropped the scheduler with its queue. Nothing decided these requests any more, and at their timeout Dispatcher.cancel failed on the missing scheduler, before RequestExecution had an outcome.

Change: a scheduler that is removed rejects its queue as SERVICE_REMOVED (503, Retry-After 0), which is true and lets callers return by the new version at once. Every queued request has a scheduler from then on, so no look-up in Dispatcher.cancel can fail.

--- a/core/src/main/java/org/mustardstage/core/placement/RejectionReason.java
+++ b/core/src/main/java/org/mustardstage/core/placement/RejectionReason.java
@@ -9,5 +9,7 @@
   /** The time to the deadline is shorter than the service time. */
   DEADLINE_TOO_SHORT,
   /** The retry budget of the service is spent. */
-  REPEATS_SPENT
+  REPEATS_SPENT,
+  /** The active configuration no longer declares the service. */
+  SERVICE_REMOVED
 }
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -310,6 +310,20 @@
     return decisions;
   }
 
+  /**
+   * Rejects all queued requests, as this scheduler will be removed. Callers may retry at once: the
+   * configuration that removed the service routes them elsewhere.
+   */
+  public ImmutableList<PlacementDecision> rejectQueued(RejectionReason reason) {
+    ImmutableList<PlacementDecision> decisions =
+        queue.stream()
+            .map(request -> new PlacementDecision.Rejected(request, reason, 0))
+            .collect(ImmutableList.toImmutableList());
+    queue.clear();
+    aboveShare.clear();
+    return decisions;
+  }
+
   private Optional<PlacementDecision> rejectOverdue(long nowNanos, SchedulerRequest request) {
     return nowNanos - request.holdDeadlineNanos() >= 0
         ? Optional.of(reject(nowNanos, request, RejectionReason.NO_SLOT_IN_TIME))
--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import com.google.common.hash.Hashing;
 import io.activej.eventloop.Eventloop;
 import java.nio.charset.StandardCharsets;
@@ -120,9 +121,15 @@
     processQueues();
   }
 
-  /** Applies a version of the configuration: adds, updates and removes schedulers. */
+  /**
+   * Applies a version of the configuration: adds, updates and removes schedulers. Requests that are
+   * queued for a removed service are rejected, as nothing else would decide them.
+   */
   void setConfig(GatewayConfig config) {
-    schedulers.keySet().retainAll(config.services().keySet());
+    ImmutableSet<ServiceName> removedServices =
+        ImmutableSet.copyOf(Sets.difference(schedulers.keySet(), config.services().keySet()));
+    ImmutableList<ServiceScheduler> removedSchedulers =
+        removedServices.stream().map(schedulers::remove).collect(ImmutableList.toImmutableList());
     config
         .services()
         .forEach(
@@ -139,6 +146,8 @@
               scheduler.setSpec(spec);
             });
     setEndpoints(endpoints);
+    removedSchedulers.forEach(
+        scheduler -> deliver(scheduler.rejectQueued(RejectionReason.SERVICE_REMOVED)));
   }
 
   /** Replaces the endpoints that may receive new requests, by service. */
@@ -366,7 +375,10 @@
     if (scheduler.queueLength() == 0) {
       return;
     }
-    List<PlacementDecision> decisions = scheduler.processQueue(clock.getAsLong());
+    deliver(scheduler.processQueue(clock.getAsLong()));
+  }
+
+  private void deliver(List<PlacementDecision> decisions) {
     for (PlacementDecision decision : decisions) {
       Pending decided = pending.remove(decision.request().id());
       if (decided != null) {
