Accept after SIGTERM only requests that end before the exit

Cause: GatewayProcess.stop accepted every request for a third of the time for a stop, and exits at the end of that time. Nothing compared a request's deadline with the time of the exit.

Change: StopSchedule (core.drain) holds the times of a stop, and GatewayServlet rejects with STOPPING what may last longer than the process. It applies to relayed requests too, which pass the same code.

FakeDeployment got settings of a stop; no test changed.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import org.mustardstage.core.drain.StopSchedule;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
 
@@ -10,15 +12,6 @@
  * deployments by routes.
  */
 public final class GatewayProcess {
-  /** Subtracted from the time for a stop, so that the process has exited when that ends. */
-  private static final long EXIT_MARGIN_MILLIS = 500;
-
-  /**
-   * New requests are served for at most this fraction (one third) of the time for a stop, so that
-   * the rest remains for requests in flight.
-   */
-  private static final int SERVE_TIME_DIVISOR = 3;
-
   private final GatewaySettings settings;
   private final GatewayControl control;
   private final GatewayServer server;
@@ -59,19 +52,22 @@
   }
 
   /**
-   * Stops gracefully: leaves the lookup responses, keeps serving for their lifetime, then rejects
-   * new requests and waits for those in flight, within the time that the settings allow.
+   * Stops gracefully: leaves the lookup responses, keeps serving for their lifetime what ends
+   * before the exit, then rejects all new requests and waits for those in flight, within the time
+   * that the settings allow.
    */
   public void stop() {
-    long startedNanos = System.nanoTime();
+    StopSchedule schedule =
+        StopSchedule.startingAt(
+            System.nanoTime(),
+            Duration.ofMillis(settings.answerLifetimeMillis()),
+            Duration.ofMillis(settings.stopWithinMillis()));
     EventLog.log(Event.STOP_BEGAN, "vm", settings.vm());
+    server.beginStop(schedule);
     control.leave();
-    sleep(
-        Math.min(
-            settings.answerLifetimeMillis(), settings.stopWithinMillis() / SERVE_TIME_DIVISOR));
+    sleep(schedule.serveTime().toMillis());
     server.rejectNewRequests();
-    long elapsedMillis = (System.nanoTime() - startedNanos) / 1_000_000;
-    server.awaitIdle(Math.max(0, settings.stopWithinMillis() - EXIT_MARGIN_MILLIS - elapsedMillis));
+    server.awaitIdle(schedule.untilExit(System.nanoTime()).toMillis());
     server.stop();
     control.stop();
     EventLog.log(Event.STOPPED, "vm", settings.vm());
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -20,6 +20,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.mustardstage.core.drain.StopSchedule;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.ServiceName;
@@ -78,6 +79,7 @@
   private Optional<GatewayConfig> config = Optional.empty();
   private Consumer<Boolean> cutOffListener = cutOff -> {};
   private volatile boolean rejectsNewRequests;
+  private volatile Optional<StopSchedule> stopSchedule = Optional.empty();
   private boolean stopped;
 
   GatewayServer(GatewaySettings settings, PlatformAdapter adapter, GatewayMetrics metrics) {
@@ -130,6 +132,7 @@
                 largeResponses,
                 headerNames),
             () -> rejectsNewRequests,
+            () -> stopSchedule,
             () -> keyCheck.getAsBoolean(),
             new RequestBodyReader((long) (REQUEST_BODIES_HEAP_SHARE * heapBytes)),
             metrics);
@@ -303,6 +306,11 @@
     eventloop.delayBackground(CONNECTION_SWEEP_INTERVAL_MILLIS, this::sweepConnections);
   }
 
+  /** Rejects new requests that may outlast the process, which stops by {@code schedule}. */
+  void beginStop(StopSchedule schedule) {
+    stopSchedule = Optional.of(schedule);
+  }
+
   /** Rejects new requests, stops listening and closes idle caller connections. */
   void rejectNewRequests() {
     rejectsNewRequests = true;
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.mustardstage.core.drain.StopSchedule;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.transfer.TransferBudget;
@@ -45,6 +46,7 @@
   private final Supplier<Optional<GatewayConfig>> config;
   private final GatewayServices services;
   private final BooleanSupplier rejectsNewRequests;
+  private final Supplier<Optional<StopSchedule>> stopSchedule;
   private final RequestReader reader;
   private final RequestBodyReader bodyReader;
   private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
@@ -56,12 +58,14 @@
       Supplier<Optional<GatewayConfig>> config,
       GatewayServices services,
       BooleanSupplier rejectsNewRequests,
+      Supplier<Optional<StopSchedule>> stopSchedule,
       BooleanSupplier acceptsKeys,
       RequestBodyReader bodyReader,
       GatewayMetrics metrics) {
     this.config = config;
     this.services = services;
     this.rejectsNewRequests = rejectsNewRequests;
+    this.stopSchedule = stopSchedule;
     this.metrics = metrics;
     this.bodyReader = bodyReader;
     this.requestId = HttpHeaders.of(services.headerNames().requestId());
@@ -89,6 +93,9 @@
     if (head.isLeft()) {
       return reject(httpRequest, head.getLeft(), activeConfig.get());
     }
+    if (mayOutlastProcess(head.get())) {
+      return reject(httpRequest, notRun(NotRunReasons.STOPPING, STOPPING_RETRY_AFTER_MILLIS));
+    }
     ServiceName service = serviceSelector.select(head.get().rule());
     CallerConnection connection = CallerConnections.of(httpRequest);
     String pathAndQuery = httpRequest.getPathAndQuery();
@@ -127,6 +134,13 @@
         .whenComplete((response, e) -> inFlight--);
   }
 
+  private boolean mayOutlastProcess(RequestReader.Head head) {
+    return stopSchedule
+        .get()
+        .filter(schedule -> !schedule.allowsDeadline(head.deadlineNanos()))
+        .isPresent();
+  }
+
   private static HttpResponse bodyFailure(RequestBodyReader.Failure failure) {
     return switch (failure) {
       case TOO_LARGE, INCOMPLETE -> problem(RequestReader.Problem.BODY_TOO_LARGE);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -57,6 +57,8 @@
   private final List<GatewayProcess> vms = new ArrayList<>();
   private final List<HostAndPort> callerAddresses = new CopyOnWriteArrayList<>();
   private final List<HostAndPort> peerAddresses = new ArrayList<>();
+  private long answerLifetimeMillis = 100;
+  private long stopWithinMillis = 1_000;
 
   FakeDeployment(List<FakeEndpoint> endpoints) {
     this(endpoints.stream().map(FakeEndpoint::registration).toList(), /* linked= */ true);
@@ -68,6 +70,12 @@
     this.linked = linked;
   }
 
+  /** Sets how the VMs that start from now on stop. */
+  void setStop(long lookupLifetimeMillis, long withinMillis) {
+    answerLifetimeMillis = lookupLifetimeMillis;
+    stopWithinMillis = withinMillis;
+  }
+
   /** Starts one more VM, which knows the peer addresses of those before it. */
   void startVm() throws IOException {
     startVm(UnaryOperator.identity());
@@ -102,8 +110,8 @@
             TestPorts.freeAddress(),
             TestPorts.freeAddress(),
             linked ? List.copyOf(peerAddresses) : List.of(),
-            /* answerLifetimeMillis= */ 100,
-            /* stopWithinMillis= */ 1_000,
+            answerLifetimeMillis,
+            stopWithinMillis,
             0.2,
             100,
             new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
@@ -124,6 +132,11 @@
     return callerAddresses;
   }
 
+  /** Stops the VM that was started first, and returns when it has stopped. */
+  void stopFirstVm() {
+    vms.removeFirst().stop();
+  }
+
   @Override
   public void close() {
     vms.parallelStream().forEach(GatewayProcess::stop);
