Refuse endpoint rows with numbers or addresses out of range

Report of other operators: an odd row among those of the endpoints ended the machines that read the list, or stopped them following it.

Tried here (EndpointRowReaderTest, in a thread with the deployed stack of 256 kB): rows nested 900, 1,100 and 30,000 deep were refused before, as were ports out of range.

Such a row is logged and names no endpoint; the others hold.

--- a/core/src/main/java/org/mustardstage/core/gateway/RegisteredEndpoint.java
+++ b/core/src/main/java/org/mustardstage/core/gateway/RegisteredEndpoint.java
@@ -1,6 +1,7 @@
 package org.mustardstage.core.gateway;
 
 import com.google.common.base.Preconditions;
+import com.google.common.net.InetAddresses;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.id.ZoneId;
@@ -28,14 +29,36 @@
     boolean draining,
     long coldRemainingMillis,
     long startTimeMillis) {
-  /** Checks the ranges. */
+  /** Sums of the slots of a few thousand endpoints stay within the range of an int. */
+  private static final int MAX_SLOTS = 1_000_000;
+
+  /** 1e9 seconds, which stay within the range of a long as nanoseconds. */
+  private static final long MAX_COLD_MILLIS = 1_000_000_000_000L;
+
+  /** Checks the ranges, and that the address needs no name lookup, which would block a thread. */
   public RegisteredEndpoint {
-    Preconditions.checkArgument(slots > 0, "endpoint %s: slots must be positive: %s", id, slots);
     Preconditions.checkArgument(
-        coldRemainingMillis >= 0,
-        "endpoint %s: remaining cold time must not be negative: %s",
+        InetAddresses.isInetAddress(address.host()),
+        "endpoint %s: the host of its address must be an IP address: %s",
+        id,
+        address);
+    Preconditions.checkArgument(
+        slots > 0 && slots <= MAX_SLOTS,
+        "endpoint %s: slots must be from 1 to %s: %s",
         id,
+        MAX_SLOTS,
+        slots);
+    Preconditions.checkArgument(
+        coldRemainingMillis >= 0 && coldRemainingMillis <= MAX_COLD_MILLIS,
+        "endpoint %s: remaining cold time must be from 0 to %s ms: %s",
+        id,
+        MAX_COLD_MILLIS,
         coldRemainingMillis);
+    Preconditions.checkArgument(
+        startTimeMillis >= 0,
+        "endpoint %s: start time must not be negative: %s",
+        id,
+        startTimeMillis);
   }
 
   /** Returns this entry as that of an endpoint that is about to stop. */
