Match responses of endpoints to their requests by id (manifests)

Report of other operators: an earlier refusal that was written once more on a kept connection was taken for that of the next request.

Cause: the HTTP client takes what follows on a connection for the response to its next request, and responses carried no request id.

Change: endpoints repeat Mustardstage-Request-Id. Another id fails the attempt as malformed and closes the connection; without an id only the first response on a connection is accepted, and the connection closed. The stand-in and the fake endpoint repeat the id.

Tried first: closing the connection after refusals only, which left the repeated 200 and a repetition written before the next response.

--- a/entry/src/main/java/org/mustardstage/entry/traffic/EndpointAttempt.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointAttempt.java
@@ -141,6 +141,10 @@
       onFailure(e);
       return;
     }
+    if (!isForThisRequest(response)) {
+      failMayHaveRun(UnknownOutcomeCause.ANSWER_MALFORMED);
+      return;
+    }
     readEndpointStatus(response);
     if (response.getCode() == REJECTION_STATUS && response.hasHeader(Headers.REFUSED)) {
       Streams.discard(response.takeBodyStream(), connection::close);
@@ -154,6 +158,20 @@
     readBody(response);
   }
 
+  /**
+   * Returns whether a response belongs to this request, and not to an earlier one on the connection
+   * that a faulty endpoint wrote again. Without the id that says so, it must be the first response
+   * on the connection, which then carries no other request.
+   */
+  private boolean isForThisRequest(HttpResponse response) {
+    String echoedId = response.getHeader(Headers.REQUEST_ID);
+    if (echoedId == null) {
+      connection.closeAfterResponse();
+      return connection.carriesFirstRequest();
+    }
+    return echoedId.equals(requestId);
+  }
+
   private void readBody(HttpResponse response) {
     int status = response.getCode();
     HeaderFields headers = EndpointResponse.headersToForward(response);
--- a/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnection.java
@@ -32,6 +32,8 @@
   private final long createdNanos = System.nanoTime();
   private BooleanSupplier maySend = () -> false;
   private @Nullable TcpSocket socket;
+  private int requestsSent;
+  private boolean closesAfterResponse;
   private boolean closed;
   private boolean bytesSent;
   private boolean connected;
@@ -70,6 +72,7 @@
    */
   Promise<HttpResponse> send(HttpRequest request, BooleanSupplier maySend) {
     this.maySend = maySend;
+    requestsSent++;
     bytesSent = false;
     connected = isOpen();
     if (connected && !maySend.getAsBoolean()) {
@@ -86,14 +89,31 @@
     }
   }
 
+  private void onResponseRead() {
+    if (closesAfterResponse) {
+      close();
+    }
+    onStateChange.run();
+  }
+
   /** Returns whether the connection was established and is not closed. */
   boolean isOpen() {
     return !closed && socket != null && !socket.isClosed();
   }
 
-  /** Returns whether the connection is open and carries no request. */
+  /** Closes the connection once the response to the present request was read whole. */
+  void closeAfterResponse() {
+    closesAfterResponse = true;
+  }
+
+  /** Returns whether the last request is the first on the connection. */
+  boolean carriesFirstRequest() {
+    return requestsSent == 1;
+  }
+
+  /** Returns whether the connection is open, carries no request and may carry another one. */
   boolean isIdle() {
-    return isOpen() && client.getConnectionsKeepAliveCount() == 1;
+    return isOpen() && !closesAfterResponse && client.getConnectionsKeepAliveCount() == 1;
   }
 
   /** Returns whether the connection was established before or for the last request. */
@@ -173,7 +193,7 @@
       implements HttpClient.Inspector {
     @Override
     public void onRequestComplete(HttpResponse response, HttpClientConnection connection) {
-      reactor.post(onStateChange);
+      reactor.post(EndpointConnection.this::onResponseRead);
     }
 
     @Override
--- a/entry/src/main/java/org/mustardstage/entry/traffic/EndpointResponse.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointResponse.java
@@ -43,6 +43,8 @@
     if (header.equals(HttpHeaders.CONTENT_ENCODING)) {
       return !decompressed;
     }
-    return !header.equals(HttpHeaders.CONTENT_LENGTH) && !Headers.isHopByHop(header);
+    return !header.equals(HttpHeaders.CONTENT_LENGTH)
+        && !header.equals(Headers.REQUEST_ID)
+        && !Headers.isHopByHop(header);
   }
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -134,6 +134,11 @@
         request(path).POST(BodyPublishers.ofString(body)).build(), BodyHandlers.ofString());
   }
 
+  /** Sends {@code request} as a POST with a short body. */
+  java.net.http.HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+    return client.send(request.POST(BodyPublishers.ofString("x")).build(), BodyHandlers.ofString());
+  }
+
   HttpRequest.Builder request(String path) {
     return HttpRequest.newBuilder(URI.create("http://" + address + path))
         .version(HttpClient.Version.HTTP_1_1)
--- a/entry/src/test/java/org/mustardstage/entry/traffic/FakeEndpoint.java
+++ b/entry/src/test/java/org/mustardstage/entry/traffic/FakeEndpoint.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -146,6 +147,7 @@
       return;
     }
     received.add(request);
+    response.echo(request);
     script.respond(request, response);
   }
 
@@ -191,21 +193,33 @@
 
   /** Writes responses to one connection. */
   static final class ResponseWriter {
+    private static final String ID = "Mustardstage-Request-Id";
+
     private final Socket socket;
+    private String idLine = "";
 
     ResponseWriter(Socket socket) {
       this.socket = socket;
     }
 
+    /** Sets the request whose id {@link #respondOk} and {@link #reject} repeat. */
+    void echo(ReceivedRequest request) {
+      idLine =
+          Optional.ofNullable(request.header(ID)).map(id -> ID + ": " + id + "\r\n").orElse("");
+    }
+
     void respondOk(String body) throws IOException {
-      sendRaw("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+      sendRaw(
+          "HTTP/1.1 200 OK\r\n" + idLine + "Content-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
     void reject(String reason) throws IOException {
       sendRaw(
           "HTTP/1.1 503 Refused\r\nMustardstage-Refused: "
               + reason
-              + "\r\nContent-Length: 0\r\n\r\n");
+              + "\r\n"
+              + idLine
+              + "Content-Length: 0\r\n\r\n");
     }
 
     void sendRaw(String text) throws IOException {
--- a/standins/src/main/java/org/mustardstage/standins/endpoint/EndpointServlet.java
+++ b/standins/src/main/java/org/mustardstage/standins/endpoint/EndpointServlet.java
@@ -69,9 +69,15 @@
       return new SettablePromise<>();
     }
     connectionsWithRequests.add(connection);
+    Optional<String> requestId = Optional.ofNullable(request.getHeader(Headers.REQUEST_ID));
     return request
         .loadBody()
         .then(body -> admit(EndpointRequest.of(request, endpointId + "-" + ++arrivals)))
+        .map(
+            response -> {
+              requestId.ifPresent(id -> response.withHeader(Headers.REQUEST_ID, id));
+              return response.build();
+            })
         .then(
             response ->
                 silentConnections.contains(connection)
@@ -79,7 +85,7 @@
                     : Promise.of(response));
   }
 
-  private Promise<HttpResponse> admit(EndpointRequest request) {
+  private Promise<HttpResponse.Builder> admit(EndpointRequest request) {
     Optional<RejectionCode> rejection = findRejection(request);
     if (rejection.isPresent()) {
       record.recordRejection();
@@ -105,7 +111,7 @@
         : Optional.empty();
   }
 
-  private Promise<HttpResponse> run(EndpointRequest request) {
+  private Promise<HttpResponse.Builder> run(EndpointRequest request) {
     Optional<EndpointPath> path = findPath(request.path());
     long runMillis = serviceTimes.sampleMillis(path, slowdownFactor());
     return runs.start(request, runMillis)
@@ -125,12 +131,12 @@
         .withBody(ResponseBodies.create(request.token().orElse(request.requestId()), bodyBytes));
   }
 
-  private Promise<HttpResponse> respond(HttpResponse.Builder response) {
+  private Promise<HttpResponse.Builder> respond(HttpResponse.Builder response) {
     response.withHeader(Headers.LOAD, reportedInUse() + "/" + slotUsage.slots());
     if (draining) {
       response.withHeader(Headers.DRAINING, "true");
     }
-    return response.toPromise();
+    return Promise.of(response);
   }
 
   private Optional<EndpointPath> findPath(String path) {
