Never run a request whose body was dropped for room

Cause: RequestBodyReader marked a dropped body, and the end of its stream didn't look at the mark; a whole body could be dropped and counted as free while its request was waiting or running; failures were thrown into the stream, which closes the connection.

Change: the outcome of a body is decided once. A whole body is kept in the budget until its request ends, failures are answered at once and the rest is skipped. ByteBlocks, taken out of StreamedBody, stores both.

--- a/core/src/main/java/org/mustardstage/core/overload/BufferBudget.java
+++ b/core/src/main/java/org/mustardstage/core/overload/BufferBudget.java
@@ -2,8 +2,10 @@
 
 import com.google.common.base.Preconditions;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Bounds the memory that the buffers of all messages in transfer hold together.
@@ -17,6 +19,10 @@
 public final class BufferBudget<K> {
   private final long capacityBytes;
   private final Map<K, Long> bytesByBuffer = new HashMap<>();
+
+  /** Buffers that count towards the capacity but must not be dropped. */
+  private final Set<K> kept = new HashSet<>();
+
   private long heldBytes;
 
   /** Creates a budget of {@code capacityBytes} for all buffers together. */
@@ -27,7 +33,7 @@
   }
 
   /**
-   * Sets the size of a buffer.
+   * Sets the size of a buffer that is not kept.
    *
    * @return the buffer that must be dropped, if all of them together are too large; the caller then
    *     calls {@link #remove} for it
@@ -38,12 +44,24 @@
     return heldBytes <= capacityBytes
         ? Optional.empty()
         : bytesByBuffer.entrySet().stream()
+            .filter(entry -> !kept.contains(entry.getKey()))
             .max(Map.Entry.comparingByValue())
             .map(Map.Entry::getKey);
   }
 
+  /**
+   * Records that a buffer must not be dropped any more, as its message is complete and in use. It
+   * counts until it is removed.
+   */
+  public void keep(K buffer) {
+    Preconditions.checkArgument(
+        bytesByBuffer.containsKey(buffer), "buffer must have a size before it is kept: %s", buffer);
+    kept.add(buffer);
+  }
+
   /** Records that a buffer is gone. */
   public void remove(K buffer) {
+    kept.remove(buffer);
     Long bytes = bytesByBuffer.remove(buffer);
     heldBytes -= bytes == null ? 0 : bytes;
   }
--- a/core/src/test/java/org/mustardstage/core/overload/BufferBudgetTest.java
+++ b/core/src/test/java/org/mustardstage/core/overload/BufferBudgetTest.java
@@ -36,4 +36,17 @@
     budget.remove("a");
     assertThat(budget.heldBytes(), is(0L));
   }
+
+  /** Guards against requests that are run without the body that was dropped under them. */
+  @Test
+  void keptBufferCountsButIsNeverDropped() {
+    budget.resize("whole", 90);
+    budget.keep("whole");
+
+    assertThat(budget.resize("new", 20), is(Optional.of("new")));
+    budget.remove("new");
+    assertThat(budget.heldBytes(), is(90L));
+    budget.remove("whole");
+    assertThat(budget.resize("whole", 110), is(Optional.of("whole")));
+  }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestBodyReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestBodyReader.java
@@ -4,16 +4,21 @@
 import io.activej.csp.consumer.ChannelConsumers;
 import io.activej.http.HttpRequest;
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import io.vavr.control.Either;
-import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import org.mustardstage.core.overload.BufferBudget;
 
 /**
  * Reads the bodies of callers' requests into memory, each within the limit of the configuration and
- * all together within a bound. Beyond the bound, the largest body is dropped. Confined to the
- * traffic thread.
+ * all together within a bound. Beyond the bound, the largest body that is still being read is
+ * dropped, and its caller is told at once; a whole body is kept until its request has ended.
+ * Confined to the traffic thread.
  */
 final class RequestBodyReader {
+  /** What is read and thrown away after a failure, so that the caller can read the response. */
+  private static final long MAX_SKIPPED_BYTES = 8 << 20;
+
   private final BufferBudget<Body> budget;
 
   /** Creates a reader of bodies that hold at most {@code capacityBytes} together. */
@@ -33,37 +38,62 @@
 
   /** A body, which counts towards the bound until it is released. */
   final class Body {
-    private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+    private final SettablePromise<Either<Failure, Body>> result = new SettablePromise<>();
+    private final ByteBlocks blocks = new ByteBlocks();
     private final long maxBytes;
-    private boolean dropped;
+    private byte[] whole = {};
+    private int receivedBytes;
+    private long skippedBytes;
 
     private Body(long maxBytes) {
       this.maxBytes = maxBytes;
     }
 
-    private void append(ByteBuf chunk) throws BodyException {
-      received.write(chunk.array(), chunk.head(), chunk.readRemaining());
-      chunk.recycle();
-      if (received.size() > maxBytes) {
-        throw new BodyException(Failure.TOO_LARGE);
+    private void append(ByteBuf chunk) throws IOException {
+      int size = chunk.readRemaining();
+      if (result.isComplete()) {
+        chunk.recycle();
+        skip(size);
+        return;
       }
-      if (!dropped) {
-        budget.resize(this, received.size()).ifPresent(Body::drop);
+      blocks.add(chunk.array(), chunk.head(), size);
+      chunk.recycle();
+      receivedBytes += size;
+      if (receivedBytes > maxBytes) {
+        fail(Failure.TOO_LARGE);
+        return;
       }
-      if (dropped) {
-        throw new BodyException(Failure.BUFFERS_FULL);
+      budget.resize(this, receivedBytes).ifPresent(largest -> largest.fail(Failure.BUFFERS_FULL));
+    }
+
+    private void skip(int size) throws IOException {
+      skippedBytes += size;
+      if (skippedBytes > MAX_SKIPPED_BYTES) {
+        throw new IOException("the rest of a request body that is not used is too large to skip");
       }
     }
 
-    private void drop() {
-      dropped = true;
-      received.reset();
+    /** Drops what was read; does nothing if the body has failed before. */
+    private void fail(Failure failure) {
+      blocks.clear();
       release();
+      result.trySet(Either.left(failure));
     }
 
-    /** Returns the bytes; must not be modified. */
+    private void onEndOfStream() {
+      if (result.isComplete()) {
+        return;
+      }
+      whole = blocks.takeAll();
+      if (whole.length > 0) {
+        budget.keep(this);
+      }
+      result.set(Either.right(this));
+    }
+
+    /** Returns the bytes of the whole body; must not be modified. */
     byte[] bytes() {
-      return received.toByteArray();
+      return whole;
     }
 
     /** Ends the use of the body, so that it no longer counts towards the bound. */
@@ -72,29 +102,23 @@
     }
   }
 
-  /** Thrown to stop reading a body. */
-  private static final class BodyException extends Exception {
-    private static final long serialVersionUID = 1L;
-    private final Failure failure;
-
-    BodyException(Failure failure) {
-      super(failure.name(), null, false, false);
-      this.failure = failure;
-    }
-  }
-
-  /** Reads the body of {@code request}. The promise never fails. */
+  /**
+   * Reads the body of {@code request}. The promise never fails. It completes with a failure as soon
+   * as that is known; the rest of the body is then skipped, so that the caller reads the response.
+   */
   Promise<Either<Failure, Body>> read(HttpRequest request, long maxBytes) {
     Body body = new Body(maxBytes);
-    return request
+    request
         .takeBodyStream()
         .streamTo(ChannelConsumers.ofConsumer(body::append))
-        .map(
-            end -> Either.right(body),
-            e -> {
-              body.drop();
-              return Either.left(
-                  e instanceof BodyException stopped ? stopped.failure : Failure.INCOMPLETE);
+        .subscribe(
+            (end, e) -> {
+              if (e == null) {
+                body.onEndOfStream();
+              } else {
+                body.fail(Failure.INCOMPLETE);
+              }
             });
+    return body.result;
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/StreamedBody.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/StreamedBody.java
@@ -6,8 +6,6 @@
 import io.activej.csp.supplier.AbstractChannelSupplier;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.mustardstage.core.transfer.TransferBudget;
@@ -19,12 +17,9 @@
  * otherwise it fails, so that the caller's connection is closed and never looks complete.
  */
 final class StreamedBody extends AbstractChannelSupplier<ByteBuf> {
-  /** Small reads are joined, so that the memory of a block is not larger than what counts. */
-  private static final int BLOCK_BYTES = 16 << 10;
-
   private final TransferBudget<?>.Transfer transfer;
   private final OptionalLong length;
-  private final Deque<Block> blocks = new ArrayDeque<>();
+  private final ByteBlocks blocks = new ByteBlocks();
   private Optional<SettablePromise<ByteBuf>> waiting = Optional.empty();
   private Listener listener = Listener.NONE;
   private int blockInTransit;
@@ -55,15 +50,6 @@
     void onCallerGone();
   }
 
-  private static final class Block {
-    private final byte[] bytes;
-    private int size;
-
-    Block(int capacity) {
-      bytes = new byte[capacity];
-    }
-  }
-
   /**
    * Creates an empty body.
    *
@@ -118,19 +104,7 @@
       return;
     }
     transfer.recordReceived(size);
-    int position = offset;
-    int end = offset + size;
-    while (position < end) {
-      Block last = blocks.peekLast();
-      if (last == null || last.size == last.bytes.length) {
-        last = new Block(Math.max(BLOCK_BYTES, end - position));
-        blocks.addLast(last);
-      }
-      int copied = Math.min(end - position, last.bytes.length - last.size);
-      System.arraycopy(bytes, position, last.bytes, last.size, copied);
-      last.size += copied;
-      position += copied;
-    }
+    blocks.add(bytes, offset, size);
     deliver();
   }
 
@@ -182,20 +156,20 @@
     if (waiting.isEmpty() || ended) {
       return;
     }
-    Block next = blocks.pollFirst();
-    if (next == null && !receivedWhole) {
+    Optional<ByteBuf> next = blocks.poll();
+    if (next.isEmpty() && !receivedWhole) {
       return;
     }
     SettablePromise<ByteBuf> asked = waiting.get();
     waiting = Optional.empty();
-    if (next == null) {
+    if (next.isEmpty()) {
       ended = true;
       transfer.end(System.nanoTime());
       asked.set(null);
       return;
     }
-    blockInTransit = next.size;
-    asked.set(ByteBuf.wrap(next.bytes, 0, next.size));
+    blockInTransit = next.get().readRemaining();
+    asked.set(next.get());
   }
 
   @Override
