Let the HTTP server's reading of a request's framing decide

Cause: RequestReader checked the framing by a parser of its own, which differs from that of the HTTP server, whose decoder the body goes through.

Change: what the server reads otherwise than the headers say is refused, and the connection closed.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -319,7 +319,8 @@
           reject(request, notRun(NotRunReasons.OLDER_CONFIG, OLDER_CONFIG_RETRY_AFTER_MILLIS));
       case KEYS_STALE ->
           reject(request, notRun(NotRunReasons.KEYS_STALE, STALE_KEYS_RETRY_AFTER_MILLIS));
-      case MALFORMED, NO_ROUTE, BODY_TOO_LARGE -> reject(request, problem(problem));
+      case AMBIGUOUS_FRAMING -> rejectAndClose(request, problem);
+      case MALFORMED, BODY_ENCODED, NO_ROUTE, BODY_TOO_LARGE -> reject(request, problem(problem));
     };
   }
 
@@ -344,6 +345,14 @@
     return Promise.of(problem(problem));
   }
 
+  /** Responds at once and closes the connection, as what follows on it may not be a request. */
+  private static Promise<HttpResponse> rejectAndClose(
+      HttpRequest request, RequestReader.Problem problem) {
+    CallerConnections.of(request).closeAfterResponse();
+    skipBody(request).whenException(e -> {});
+    return Promise.of(problem(problem));
+  }
+
   private static HttpResponse problem(RequestReader.Problem problem) {
     return failure(problem.status(), problem.name());
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
@@ -23,7 +23,6 @@
 
 /** Validates the head of a caller's request, matches it to a rule and determines its deadline. */
 final class RequestReader {
-  private static final String CHUNKED = "chunked";
   private static final HttpHeader RELAYED_KEY_HASH = HttpHeaders.of(RelayHeader.KEY_HASH_NAME);
   private static final HttpHeader RELAY = HttpHeaders.of(RelayHeader.NAME);
 
@@ -52,11 +51,15 @@
 
   /** Why a request is rejected; the names are sent to callers. */
   enum Problem {
+    /** A header name is invalid, the method is not supported, or the Host header is missing. */
+    MALFORMED(400),
     /**
-     * The framing is ambiguous or invalid, the method is not supported, or the Host header is
-     * missing.
+     * The end of the body is ambiguous, or the HTTP server understands it in another way than the
+     * headers say. What follows on the connection may be a part of the body.
      */
-    MALFORMED(400),
+    AMBIGUOUS_FRAMING(400),
+    /** The HTTP server has decoded the body, so that it can't be forwarded unchanged. */
+    BODY_ENCODED(415),
     /** No rule matches the host and path. */
     NO_ROUTE(404),
     /** The rule needs an API key, and the request has none. */
@@ -206,19 +209,21 @@
     if (!hasValidHeaderNames(request)) {
       return Optional.of(Problem.MALFORMED);
     }
-    String encoding = request.getHeader(HttpHeaders.TRANSFER_ENCODING);
+    List<String> encodings = valuesOf(request, HttpHeaders.TRANSFER_ENCODING);
     List<String> lengths = valuesOf(request, HttpHeaders.CONTENT_LENGTH);
-    boolean unknownEncoding = encoding != null && !encoding.trim().equalsIgnoreCase(CHUNKED);
-    boolean ambiguous = lengths.size() > 1 || (!lengths.isEmpty() && encoding != null);
-    if (unknownEncoding || ambiguous) {
-      return Optional.of(Problem.MALFORMED);
+    if (encodings.size() + lengths.size() > 1
+        || !encodings.isEmpty() != request.getConnection().isChunked()) {
+      return Optional.of(Problem.AMBIGUOUS_FRAMING);
+    }
+    if (request.getConnection().isGzipped()) {
+      return Optional.of(Problem.BODY_ENCODED);
     }
     if (lengths.isEmpty()) {
       return Optional.empty();
     }
     Long length = Longs.tryParse(lengths.getFirst().trim());
     if (length == null || length < 0) {
-      return Optional.of(Problem.MALFORMED);
+      return Optional.of(Problem.AMBIGUOUS_FRAMING);
     }
     return length > config.callerLimits().maxBodyBytes()
         ? Optional.of(Problem.BODY_TOO_LARGE)
