Promise "not run" to a leaving caller only if nothing was sent

Cause: the end of the caller's stream cancels the request, and the answer to it was 503 whether or not the request had been sent.

Evidence: GatewayTest.callerThatEndsItsSendingSideIsNotToldThatARunning- RequestDidNotRun got 503 before the change and gets 502 with it.

Change: CallerDisconnected says whether the request may have run; 502 if so. Work for the caller is still cancelled.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -33,6 +33,7 @@
   /** The header that names the reason of a response that no endpoint produced. */
   static final String ERROR_REASON_NAME = "Mustardstage-Error";
 
+  private static final int STATUS_BAD_GATEWAY = 502;
   private static final int STATUS_UNAVAILABLE = 503;
   private static final long OLDER_CONFIG_RETRY_AFTER_MILLIS = 100;
   private static final long NO_CONFIG_RETRY_AFTER_MILLIS = 500;
@@ -255,7 +256,8 @@
       case RequestOutcome.Unknown unknown ->
           failure(unknown.cause().status(), unknown.cause().name());
       case RequestOutcome.CallerDisconnected disconnected ->
-          failure(STATUS_UNAVAILABLE, "CALLER_LEFT");
+          failure(
+              disconnected.mayHaveRun() ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE, "CALLER_LEFT");
     };
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -659,8 +659,9 @@
       streamed.ifPresent(StreamedAttempt::onCallerDisconnected);
       return;
     }
+    boolean sent = mayHaveRun || isInFlight();
     cancelAttempts();
-    finish(new RequestOutcome.CallerDisconnected());
+    finish(new RequestOutcome.CallerDisconnected(sent));
   }
 
   private void cancelAttempts() {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestOutcome.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestOutcome.java
@@ -48,6 +48,10 @@
     }
   }
 
-  /** The caller closed its connection. */
-  record CallerDisconnected() implements RequestOutcome {}
+  /**
+   * The caller closed its connection, or ended its sending side and may still read.
+   *
+   * @param mayHaveRun whether the request was sent to an endpoint or to another VM
+   */
+  record CallerDisconnected(boolean mayHaveRun) implements RequestOutcome {}
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
@@ -1,6 +1,7 @@
 package org.mustardstage.entry.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
@@ -297,6 +298,34 @@
     closed.await();
   }
 
+  /** A caller that still reads was promised that a booking had not run, while it was running. */
+  @Test
+  void callerThatEndsItsSendingSideIsNotToldThatARunningRequestDidNotRun() throws Exception {
+    CountDownLatch arrived = new CountDownLatch(1);
+    publish(first);
+    first.setHandler(
+        (request, socket) -> {
+          arrived.countDown();
+          Thread.sleep(500);
+          FakeEndpoint.respondOk(request, socket, "done");
+        });
+    try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), address.port())) {
+      caller
+          .getOutputStream()
+          .write(
+              ("POST /book/1 HTTP/1.1\r\nHost: "
+                      + address
+                      + "\r\nX-Request-Id: r-1\r\nX-Deadline-Ms: 30000\r\n"
+                      + "Content-Length: 0\r\n\r\n")
+                  .getBytes(StandardCharsets.US_ASCII));
+      arrived.await();
+      caller.shutdownOutput();
+      String status = new String(caller.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+
+      assertThat(status, anyOf(is(""), is("HTTP/1.1 502"), is("HTTP/1.1 200")));
+    }
+  }
+
   @Test
   void ambiguousFramingIsRejected() throws Exception {
     try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), address.port())) {
