Apply the configuration's limits on idle connections of callers

Cause: idle_timeout_s and header_timeout_s were read and not applied, and nothing bounded how many connections callers hold.

Change: the timeouts of a version apply to open connections too; unused connections count as idle; callers' connections use half of the descriptors (maxDescriptors), and the longest idle ones make room.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -56,6 +56,9 @@
   /** The share of the heap that all large responses may hold until callers have taken them. */
   private static final double LARGE_RESPONSES_HEAP_SHARE = 0.25;
 
+  /** The share of the descriptors that connections of callers may use. */
+  private static final double CALLER_DESCRIPTORS_SHARE = 0.5;
+
   private static final long CONNECTION_SWEEP_INTERVAL_MILLIS = 500;
   private static final long IDLE_CHECK_INTERVAL_MILLIS = 20;
 
@@ -118,6 +121,8 @@
     this.callerConnections =
         new CallerConnections(
             eventloop, TrafficSettings.defaults(settings.callerAddress()), new AtomicInteger());
+    callerConnections.setMaxConnections(
+        Math.max(1, (int) (CALLER_DESCRIPTORS_SHARE * settings.maxDescriptors())));
     this.servlet =
         new GatewayServlet(
             () -> config,
@@ -217,6 +222,8 @@
     eventloop.execute(
         () -> {
           config = Optional.of(newer);
+          callerConnections.setTimeouts(
+              newer.callerLimits().headerTimeoutMillis(), newer.callerLimits().idleTimeoutMillis());
           linkMonitor.setServices(newer.services());
           dispatcher.setConfig(newer);
           quotas.setTenants(newer.tenants());
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettings.java
@@ -37,6 +37,7 @@
  * @param keyLifetimeMillis how long API keys are accepted without news of the configuration; empty
  *     for as long as it takes
  * @param milliCores the processing capacity of the VM, in thousandths of a core
+ * @param maxDescriptors how many files and sockets the process may have open
  * @param logLevel the minimum level of log lines
  * @param quotas how exactly the quotas of tenants hold
  * @param hedging how much extra work is accepted for faster responses
@@ -60,6 +61,7 @@
     RegionShiftLimit regionShiftLimit,
     OptionalLong keyLifetimeMillis,
     int milliCores,
+    int maxDescriptors,
     String logLevel,
     QuotaSettings quotas,
     HedgeSettings hedging) {
@@ -85,5 +87,7 @@
         keyLifetimeMillis);
     Preconditions.checkArgument(
         milliCores > 0, "milliCores (1000 * cores * cpuShare) must be positive: %s", milliCores);
+    Preconditions.checkArgument(
+        maxDescriptors > 0, "maxDescriptors must be positive: %s", maxDescriptors);
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewaySettingsReader.java
@@ -38,6 +38,8 @@
   private final JsonNode root;
   private final List<DocumentProblem> problems = new ArrayList<>();
 
+  private static final int DEFAULT_MAX_DESCRIPTORS = 1_024;
+
   private GatewaySettingsReader(JsonNode root) {
     this.root = root;
   }
@@ -90,6 +92,7 @@
                   (MILLI_CORES_PER_CORE
                       * root.path("cores").asDouble(1)
                       * root.path("cpuShare").asDouble(1)),
+              root.path("maxDescriptors").asInt(DEFAULT_MAX_DESCRIPTORS),
               root.path("logLevel").asText("info"),
               quotas(),
               new HedgeSettings(
--- a/entry/src/main/java/org/mustardstage/entry/traffic/CallerConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/CallerConnection.java
@@ -3,10 +3,13 @@
 import io.activej.net.socket.tcp.TcpSocket;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
+import java.util.Comparator;
 
 /** The state of one open caller connection: its phase, its timers and its disconnect handler. */
 public final class CallerConnection {
   private enum Phase {
+    /** No byte of the first request has arrived. */
+    NEW,
     /** Waiting for the rest of a request head (request line and headers). */
     READING_HEAD,
     /** Processing a request. */
@@ -17,8 +20,12 @@
     IDLE
   }
 
+  /** Orders connections by the start of their phase, the longest in it first. */
+  static final Comparator<CallerConnection> BY_PHASE_START =
+      (a, b) -> Long.signum(a.phaseStartNanos - b.phaseStartNanos);
+
   private final TcpSocket socket;
-  private Phase phase = Phase.READING_HEAD;
+  private Phase phase = Phase.NEW;
   private long phaseStartNanos = System.nanoTime();
   private long lastProgressNanos = phaseStartNanos;
   private long headBytes;
@@ -80,7 +87,7 @@
    */
   boolean onRead(int bytes, int maxHeadBytes) {
     lastProgressNanos = System.nanoTime();
-    if (phase == Phase.IDLE) {
+    if (isIdle()) {
       enter(Phase.READING_HEAD);
     }
     boolean tooLarge = phase == Phase.READING_HEAD && headBytes > maxHeadBytes;
@@ -104,7 +111,7 @@
 
   /** Returns whether no request is being read, processed or responded to. */
   boolean isIdle() {
-    return phase == Phase.IDLE || (phase == Phase.READING_HEAD && headBytes == 0);
+    return phase == Phase.NEW || phase == Phase.IDLE;
   }
 
   /** Returns whether the caller exceeded the timeout of the current phase. */
@@ -112,6 +119,7 @@
     long inPhaseNanos = nowNanos - phaseStartNanos;
     long stalledNanos = nowNanos - lastProgressNanos;
     return switch (phase) {
+      case NEW -> inPhaseNanos > timeouts.firstRequestTimeoutNanos();
       case READING_HEAD -> inPhaseNanos > timeouts.headTimeoutNanos();
       case IDLE -> inPhaseNanos > timeouts.keepAliveTimeoutNanos();
       case PROCESSING, RESPONDING ->
--- a/entry/src/main/java/org/mustardstage/entry/traffic/CallerConnections.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/CallerConnections.java
@@ -14,14 +14,19 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 
 /** Tracks the open caller connections of one traffic thread and closes those that time out. */
 public final class CallerConnections {
+  /** Bounds how often all connections are searched while callers keep opening new ones. */
+  private static final int CLOSED_AT_ONCE_DIVISOR = 32;
+
   private final Reactor reactor;
   private final int maxHeadBytes;
-  private final CallerTimeouts timeouts;
+  private CallerTimeouts timeouts;
+  private int maxConnections = Integer.MAX_VALUE;
   private final AtomicInteger openInAllThreads;
   private final Set<CallerConnection> openConnections = new LinkedHashSet<>();
   private CallerConnection lastAccepted;
@@ -56,6 +61,39 @@
     closeMatching(connection -> connection.hasTimedOut(nowNanos, timeouts));
   }
 
+  /**
+   * Replaces the timeouts of open and new connections.
+   *
+   * @param headerMillis how long a caller may take to send a request head
+   * @param idleMillis how long a connection may be idle before a request
+   */
+  public void setTimeouts(long headerMillis, long idleMillis) {
+    timeouts =
+        new CallerTimeouts(
+            TimeUnit.MILLISECONDS.toNanos(idleMillis),
+            TimeUnit.MILLISECONDS.toNanos(headerMillis),
+            timeouts.progressTimeoutNanos(),
+            TimeUnit.MILLISECONDS.toNanos(idleMillis));
+  }
+
+  /**
+   * Sets how many connections are kept open. Beyond that number, those that have been idle for
+   * longest are closed, so that descriptors remain for other peers and for new callers.
+   */
+  public void setMaxConnections(int newMaxConnections) {
+    maxConnections = newMaxConnections;
+  }
+
+  /** Closes the connections that have been idle for longest, several at once. */
+  private void closeLongestIdle() {
+    openConnections.stream()
+        .filter(CallerConnection::isIdle)
+        .sorted(CallerConnection.BY_PHASE_START)
+        .limit(1 + maxConnections / CLOSED_AT_ONCE_DIVISOR)
+        .toList()
+        .forEach(CallerConnection::close);
+  }
+
   /** Closes the connections without a request. */
   public void closeIdle() {
     closeMatching(CallerConnection::isIdle);
@@ -90,6 +128,9 @@
     public void onConnect(TcpSocket socket) {
       lastAccepted = new CallerConnection(socket);
       socket.setUserData(lastAccepted);
+      if (openConnections.size() >= maxConnections) {
+        closeLongestIdle();
+      }
       openConnections.add(lastAccepted);
       openInAllThreads.incrementAndGet();
     }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/AttemptPermitTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/AttemptPermitTest.java
@@ -111,6 +111,7 @@
         new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
         OptionalLong.empty(),
         420,
+        1_024,
         "info",
         QuotaSettings.defaults(),
         HedgeSettings.OFF);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -117,6 +117,7 @@
             new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
             OptionalLong.empty(),
             420,
+            1_024,
             "info",
             QuotaSettings.defaults(),
             HedgeSettings.OFF);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -198,6 +198,7 @@
         new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
         keyLifetimeMillis,
         420,
+        1_024,
         "info",
         QuotaSettings.defaults(),
         HedgeSettings.OFF);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -169,20 +169,31 @@
         new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
         OptionalLong.empty(),
         420,
+        maxDescriptors(),
         "info",
         QuotaSettings.defaults(),
         hedging());
   }
 
+  /** Returns how many descriptors the gateway may use. */
+  int maxDescriptors() {
+    return 1_024;
+  }
+
   /** Returns the limit on hedges, which tests of hedging override. */
   HedgeSettings hedging() {
     return HedgeSettings.OFF;
   }
 
   private GatewayConfig config() {
+    return config(1, new CallerLimits(16_384, 1 << 20, 3_000, 15_000));
+  }
+
+  /** Returns a version of the configuration that differs from the others in its limits only. */
+  static GatewayConfig config(int version, CallerLimits limits) {
     return new GatewayConfig(
-        new ConfigVersion(1),
-        new CallerLimits(16_384, 1 << 20, 3_000, 15_000),
+        new ConfigVersion(version),
+        limits,
         List.of(
             new ServiceSpec(ORDERS, "/health", 700, 3_000, 17),
             new ServiceSpec(REPORTS, "/health", 700, 3_000, 17)),
