Read frames of a link in a loop

By the review's reading and a stand-in: a link between VMs on which many small frames arrive in one read ended the control thread, as reading a frame called itself for the next one.

Evidence: PeerNetworkTest.manyFramesInOneReadAreDelivered, whose VMs now have the deployed stack of 256 kB, failed at frame 313 of 20,000 with a StackOverflowError, and passes with the change.

--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerLink.java
@@ -6,6 +6,7 @@
 import io.activej.csp.binary.decoder.ByteBufsDecoders;
 import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.promise.Promise;
 import io.vavr.control.Either;
 import java.nio.ByteBuffer;
 import java.util.Optional;
@@ -85,11 +86,24 @@
   }
 
   void startReading() {
-    readNextFrame();
+    readFrames();
   }
 
-  private void readNextFrame() {
-    input.decode(frameDecoder).whenResult(this::onFrame).whenException(this::onError);
+  /** Handles the frames that have arrived in a loop, as a call for each would exhaust the stack. */
+  private void readFrames() {
+    while (!closed) {
+      Promise<ByteBuf> frame = input.decode(frameDecoder);
+      if (!frame.isResult()) {
+        frame.whenResult(this::onAwaitedFrame).whenException(this::onError);
+        return;
+      }
+      onFrame(frame.getResult());
+    }
+  }
+
+  private void onAwaitedFrame(ByteBuf buf) {
+    onFrame(buf);
+    readFrames();
   }
 
   private void onError(Exception exception) {
@@ -109,9 +123,6 @@
       stats.onSkipped();
       listener.onBadFrame(this, decoded.getLeft(), content.length);
     }
-    if (!closed) {
-      readNextFrame();
-    }
   }
 
   /** Sends a message, unless the release of the remote VM does not know messages of its kind. */
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerNetworkTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerNetworkTest.java
@@ -37,6 +37,11 @@
  */
 @Timeout(20)
 class PeerNetworkTest {
+  private static final int MANY_FRAMES = 20_000;
+
+  /** The stack of the threads of the deployed process. */
+  private static final long STACK_BYTES = 256 << 10;
+
   private static final String HOST = "127.0.0.1";
   private static final PeerMessage MESSAGE =
       new PeerMessage.ConfigAnnounce(new ConfigVersion(7), "root");
@@ -99,6 +104,28 @@
     assertThat(second.network.stats().skippedFrames(), equalTo(2L));
   }
 
+  /** Each frame of a read took more of the stack, until the thread of all links ended. */
+  @Test
+  void manyFramesInOneReadAreDelivered() throws IOException, InterruptedException {
+    byte[] hello = PeerCodec.encode(1, new PeerMessage.Hello(first.member, Optional.empty()));
+    byte[] small = PeerCodec.encode(2, new PeerMessage.ConfigAnnounce(new ConfigVersion(1), "r"));
+    ByteBuffer frames =
+        ByteBuffer.allocate(hello.length + 4 + MANY_FRAMES * (small.length + 4))
+            .putInt(hello.length)
+            .put(hello);
+    for (int i = 0; i < MANY_FRAMES; i++) {
+      frames.putInt(small.length).put(small);
+    }
+    try (Socket socket = connectToSecond()) {
+      socket.getOutputStream().write(frames.array());
+      for (int i = 0; i < MANY_FRAMES; i++) {
+        assertThat("frame " + i, second.received.poll(5, TimeUnit.SECONDS) != null, equalTo(true));
+      }
+    }
+    first.send(second.member, MESSAGE);
+    assertThat(second.received.poll(5, TimeUnit.SECONDS), equalTo(MESSAGE));
+  }
+
   @Test
   void oversizedFrameClosesTheLink() throws IOException {
     try (Socket socket = connectToSecond()) {
@@ -147,7 +174,7 @@
     private final Eventloop eventloop = Eventloop.create();
     private final BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
     private final PeerNetwork network;
-    private final Thread thread = new Thread(eventloop);
+    private final Thread thread = new Thread(null, eventloop, "vm", STACK_BYTES);
 
     TestVm(String name, long incarnation) throws IOException {
       member = newMember(name, incarnation, freePort());
