Use the placement that waits for a hedge as the retry

By the review's reading: a hedge that waits for a slot was forgotten when the first attempt failed meanwhile. The retry asked for a second place, both were sent, and the request ran at more endpoints than max_attempts.

Evidence: WaitingHedgeTest failed before the change (3 endpoints, 2 allowed; tries LOST, ANSWERED, ABANDONED) and passes with it.

Change: RequestExecution asks for no place while one is pending.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -153,9 +153,12 @@
     return TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - System.nanoTime());
   }
 
-  /** Requests an endpoint, or relays the request if this VM reaches none. */
+  /**
+   * Requests an endpoint, or relays the request if this VM reaches none. A placement that waits
+   * already, for a hedge, serves as the retry of an attempt that failed meanwhile.
+   */
   private void requestPlacement() {
-    if (rejectBlocked()) {
+    if (pendingPlacement.isPresent() || permit.isWaiting() || rejectBlocked()) {
       return;
     }
     boolean isRelayed = request.relay().isPresent();
