Don't resend lost requests until a starting VM knows the blocks

Cause: a VM that has just started has no list of blocked requests until its first link to another VM brings it. In these milliseconds it sent a request that ends endpoints, lost it, and sent it to a second one.

Change: BlockKnowledge (core) says whether a VM has had the time to hear of the blocks: 250 ms after it knows another VM, 2 s after its start at the latest, at once if it has no peers. Until then a request whose endpoint was lost isn't sent again; its caller gets 502 and may send it.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/CrashGuard.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CrashGuard.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.mustardstage.core.member.MemberView;
+import org.mustardstage.core.placement.BlockKnowledge;
 import org.mustardstage.core.placement.BlockedRequests;
 import org.mustardstage.core.placement.LostAttempt;
 import org.mustardstage.core.placement.RequestBlock;
@@ -14,6 +16,7 @@
  */
 final class CrashGuard {
   private final BlockedRequests blocked = new BlockedRequests();
+  private final BlockKnowledge knowledge;
   private Listener listener = new IgnoringListener();
 
   /** Hears of the attempts of this VM. */
@@ -33,6 +36,23 @@
     public void onSurvived(RequestFingerprint fingerprint) {}
   }
 
+  /** Creates a guard of a VM that starts now; {@code expectsPeers} if there may be others. */
+  CrashGuard(boolean expectsPeers) {
+    this.knowledge = new BlockKnowledge(System.nanoTime(), expectsPeers);
+  }
+
+  /** Records which VMs are known, of which the others tell this one the blocks. */
+  void setMembers(MemberView view) {
+    if (view.alive().size() > 1) {
+      knowledge.recordPeer(System.nanoTime());
+    }
+  }
+
+  /** Returns whether a request may be sent again of which an attempt was lost. */
+  boolean allowsRetryAfterLoss() {
+    return knowledge.isComplete(System.nanoTime());
+  }
+
   void setListener(Listener newListener) {
     listener = newListener;
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -74,7 +74,7 @@
   private final EndpointConnectionPool vmConnections;
   private final RelayNetwork relayNetwork;
   private final GatewayServlet servlet;
-  private final CrashGuard crashGuard = new CrashGuard();
+  private final CrashGuard crashGuard;
   private final QuotaGate quotas;
   private final LargeResponses largeResponses;
   private final HttpServer callerServer;
@@ -102,6 +102,7 @@
             .build();
     this.dispatcher = new Dispatcher(settings, eventloop, System::nanoTime);
     this.quotas = new QuotaGate(settings, eventloop, System::nanoTime);
+    this.crashGuard = new CrashGuard(/* expectsPeers= */ !settings.seedPeers().isEmpty());
     HeaderNames headerNames = adapter.headerNames();
     BufferBudget<EndpointConnection> responseBuffers =
         new BufferBudget<>((long) (RESPONSE_BUFFERS_HEAP_SHARE * heapBytes));
@@ -250,6 +251,7 @@
         () -> {
           dispatcher.setMembers(view);
           relayNetwork.setMembers(view);
+          crashGuard.setMembers(view);
           quotas.setMembers(view);
         });
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -510,7 +510,11 @@
         recordLost(current, "LOST");
         current.finish(Status.SPOILED);
         mayHaveRun = true;
-        retryOrFail(RequestOutcome.Unknown.Cause.ANSWER_LOST);
+        if (services.crashGuard().allowsRetryAfterLoss()) {
+          retryOrFail(RequestOutcome.Unknown.Cause.ANSWER_LOST);
+        } else if (!isInFlight()) {
+          finish(new RequestOutcome.Unknown(RequestOutcome.Unknown.Cause.ANSWER_LOST));
+        }
       }
       case MALFORMED -> {
         current.finish(Status.SPOILED);
