Test that each request of a connection has its own framing

Guards against refusals of proper requests (DENIED) by what an earlier request of the connection said: RequestFramingTest, green when written.

--- a/entry/src/test/java/org/mustardstage/entry/gateway/RequestFramingTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/RequestFramingTest.java
@@ -101,6 +101,23 @@
     assertThat(answer.lines().filter(line -> line.startsWith("HTTP/1.1")).count() <= 1, is(true));
   }
 
+  /** What one request of a connection says of its body must not count for the next one. */
+  @Test
+  void framingIsReadAnewForEachRequestOfAConnection() throws Exception {
+    ByteArrayOutputStream requests = new ByteArrayOutputStream();
+    for (int i = 0; i < 3; i++) {
+      requests.write(request("Transfer-Encoding: chunked", "4\r\nfour\r\n0\r\n\r\n"));
+      requests.write(request("Content-Length: 4", "four"));
+    }
+
+    exchange(requests.toByteArray());
+
+    assertThat(first.receivedRequests().size(), is(6));
+    for (FakeEndpoint.ReceivedRequest received : first.receivedRequests()) {
+      assertThat(received.body(), is("four"));
+    }
+  }
+
   /** It reached the endpoint decoded, under a header that says that it is not. */
   @Test
   void bodyThatTheServerDecodedIsRefused() throws Exception {
