Explain unserved requests, share the booking of two tests

Read as a newcomer: both servlets return a promise that nobody completes, without a reason; GatewayTest wrote the same request twice. No behaviour changes; GatewayTest, RequestFramingTest and CallerServletTest are green.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -84,6 +84,7 @@
     long nowNanos = System.nanoTime();
     CallerConnection connection = CallerConnections.of(httpRequest);
     if (connection.closesAfterResponse()) {
+      // Never completed, as the connection is about to close.
       return new SettablePromise<>();
     }
     Optional<GatewayConfig> activeConfig = config.get();
--- a/entry/src/main/java/org/mustardstage/entry/traffic/CallerServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/CallerServlet.java
@@ -35,6 +35,7 @@
   public Promise<HttpResponse> serve(HttpRequest request) {
     CallerConnection connection = CallerConnections.of(request);
     if (connection.closesAfterResponse()) {
+      // Never completed, as the connection is about to close.
       return new SettablePromise<>();
     }
     if (thread.isStopping()) {
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTest.java
@@ -285,19 +285,21 @@
           socket.close();
         });
     try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), address.port())) {
-      caller
-          .getOutputStream()
-          .write(
-              ("POST /book/1 HTTP/1.1\r\nHost: "
-                      + address
-                      + "\r\nX-Request-Id: r-1\r\nX-Deadline-Ms: 30000\r\n"
-                      + "Content-Length: 0\r\n\r\n")
-                  .getBytes(StandardCharsets.US_ASCII));
+      sendBooking(caller);
       arrived.await();
     }
     closed.await();
   }
 
+  private void sendBooking(Socket caller) throws IOException {
+    FakeEndpoint.write(
+        caller,
+        "POST /book/1 HTTP/1.1\r\nHost: "
+            + address
+            + "\r\nX-Request-Id: r-1\r\nX-Deadline-Ms: 30000\r\n"
+            + "Content-Length: 0\r\n\r\n");
+  }
+
   /** A caller that still reads was promised that a booking had not run, while it was running. */
   @Test
   void callerThatEndsItsSendingSideIsNotToldThatARunningRequestDidNotRun() throws Exception {
@@ -310,14 +312,7 @@
           FakeEndpoint.respondOk(request, socket, "done");
         });
     try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), address.port())) {
-      caller
-          .getOutputStream()
-          .write(
-              ("POST /book/1 HTTP/1.1\r\nHost: "
-                      + address
-                      + "\r\nX-Request-Id: r-1\r\nX-Deadline-Ms: 30000\r\n"
-                      + "Content-Length: 0\r\n\r\n")
-                  .getBytes(StandardCharsets.US_ASCII));
+      sendBooking(caller);
       arrived.await();
       caller.shutdownOutput();
       String status = new String(caller.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
