Take only what RFC 9112 defines as a response of an endpoint

What callers saw: a response in whose head the name of a header held a blank or a control byte was passed on as the endpoint's, with that line in it.

Cause: ResponseParser checked the status, that a header line has a colon, and the framing. Names, values, reason phrases, chunk lines and trailers could hold any byte, String.trim took control bytes for blanks (so "Content-Length: \x016" was 6), a status of 600 or more ended as 500, and a broken line end was noticed at the deadline only.

Evidence: BrokenResponseTest, 47 kinds of faults, as an idempotent request and as another one. Status 000 was handled before (malformed); its test stays.

Change: core.http decides what a response is, line by line as bytes arrive, so a wrong byte ends the attempt at once. Two equal Content-Length lines, chunked coding in HTTP/1.0 and 101 are no responses either. What was found and expected is logged with the address and the request's id (MS0063) and counted (mustardstage_malformed_responses). An idempotent request goes to another endpoint, any other ends with 502 ANSWER_LOST, which promises nothing; both were so before for what the parser rejected.

Heads, trailers, chunk extensions and interim responses of one exchange count together towards 64 KB and 256 lines (ResponseLimits).

--- a/entry/src/main/java/org/mustardstage/entry/gateway/HeaderList.java
+++ b/core/src/main/java/org/mustardstage/core/http/HeaderList.java
@@ -1,25 +1,26 @@
-package org.mustardstage.entry.gateway;
+package org.mustardstage.core.http;
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
 import java.util.Optional;
 
 /** Header lines in their original order, with the names in their original case. */
-record HeaderList(List<Line> lines) {
+public record HeaderList(List<Line> lines) {
   /** Copies the list. */
-  HeaderList {
+  public HeaderList {
     lines = ImmutableList.copyOf(lines);
   }
 
   /** One header line. Names are compared without regard to case. */
-  record Line(String name, String value) {
-    boolean isNamed(String other) {
+  public record Line(String name, String value) {
+    /** Returns whether {@code other} is the name of the header. */
+    public boolean isNamed(String other) {
       return name.equalsIgnoreCase(other);
     }
   }
 
   /** Returns the first value of the header {@code name}, if there is one. */
-  Optional<String> find(String name) {
+  public Optional<String> find(String name) {
     for (Line line : lines) {
       if (line.isNamed(name)) {
         return Optional.of(line.value());
@@ -29,7 +30,7 @@
   }
 
   /** Returns all values of the header {@code name}, in order. */
-  ImmutableList<String> all(String name) {
+  public ImmutableList<String> all(String name) {
     ImmutableList.Builder<String> values = ImmutableList.builder();
     for (Line line : lines) {
       if (line.isNamed(name)) {
@@ -40,7 +41,7 @@
   }
 
   /** Returns whether there is a header {@code name}. */
-  boolean has(String name) {
+  public boolean has(String name) {
     return find(name).isPresent();
   }
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/ResponseParserTest.java
+++ b/core/src/test/java/org/mustardstage/core/http/ResponseParserTest.java
@@ -1,4 +1,4 @@
-package org.mustardstage.entry.gateway;
+package org.mustardstage.core.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -7,10 +7,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import org.mustardstage.entry.gateway.ResponseParser.MalformedResponseException;
 
 class ResponseParserTest {
-  private final ResponseParser parser = new ResponseParser(false);
+  private static final ResponseLimits LIMITS = ResponseLimits.withBodyOf(1 << 20);
+
+  private final ResponseParser parser = new ResponseParser(LIMITS, false);
 
   @Test
   void completeResponseIsReturnedWhenItsBytesArriveSeparately() throws MalformedResponseException {
@@ -21,10 +22,10 @@
     }
     add("o");
 
-    EndpointResponse response = parser.next().orElseThrow();
+    ResponseParser.Response response = parser.next().orElseThrow();
 
-    assertThat(response.status(), is(200));
-    assertThat(response.headers().find("x-a"), is(Optional.of("b")));
+    assertThat(response.head().status(), is(200));
+    assertThat(response.head().headers().find("x-a"), is(Optional.of("b")));
     assertThat(bodyOf(response), is("hello"));
     assertThat(parser.hasUnconsumedBytes(), is(false));
   }
@@ -73,7 +74,7 @@
   void interimResponsesAreSkipped() throws MalformedResponseException {
     add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
 
-    assertThat(parser.next().orElseThrow().status(), is(204));
+    assertThat(parser.next().orElseThrow().head().status(), is(204));
   }
 
   @Test
@@ -89,7 +90,7 @@
   }
 
   private static void assertMalformed(String text) {
-    ResponseParser malformedParser = new ResponseParser(false);
+    ResponseParser malformedParser = new ResponseParser(LIMITS, false);
     byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
     malformedParser.add(bytes, 0, bytes.length);
     assertThrows(MalformedResponseException.class, malformedParser::next, text);
@@ -100,7 +101,7 @@
     parser.add(bytes, 0, bytes.length);
   }
 
-  private static String bodyOf(EndpointResponse response) {
+  private static String bodyOf(ResponseParser.Response response) {
     return new String(response.body(), StandardCharsets.ISO_8859_1);
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/CallerRequest.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.util.Optional;
 import org.mustardstage.core.gateway.RoutingRule;
+import org.mustardstage.core.http.HeaderList;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.placement.RequestFingerprint;
 import org.mustardstage.core.tenant.ApiKeyHash;
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
@@ -14,6 +14,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.mustardstage.core.http.MalformedResponseException;
+import org.mustardstage.core.http.ResponseLimits;
+import org.mustardstage.core.http.ResponseParser;
 import org.mustardstage.core.overload.BufferBudget;
 
 /**
@@ -27,14 +30,17 @@
    */
   private static final long STALE_RESET_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+  private static final ResponseLimits LIMITS = ResponseLimits.withBodyOf(16 << 20);
+
   private final NioReactor reactor;
   private final InetSocketAddress address;
   private final HeaderNames headerNames;
   private final BufferBudget<EndpointConnection> responseBuffers;
+  private final MalformedResponseLog malformedResponses;
   private final Runnable onClosed;
   private Optional<TcpSocket> socket = Optional.empty();
   private Optional<Exchange> exchange = Optional.empty();
-  private ResponseParser parser = new ResponseParser(false);
+  private ResponseParser parser = new ResponseParser(LIMITS, /* withoutBody= */ false);
   private boolean closed;
   private boolean mustClose;
   private long lastResponseNanos = System.nanoTime();
@@ -74,11 +80,13 @@
       InetSocketAddress address,
       HeaderNames headerNames,
       BufferBudget<EndpointConnection> responseBuffers,
+      MalformedResponseLog malformedResponses,
       Runnable onClosed) {
     this.reactor = reactor;
     this.address = address;
     this.headerNames = headerNames;
     this.responseBuffers = responseBuffers;
+    this.malformedResponses = malformedResponses;
     this.onClosed = onClosed;
   }
 
@@ -134,7 +142,7 @@
   }
 
   private void write(Exchange current) {
-    parser = new ResponseParser(current.request.withoutResponseBody());
+    parser = new ResponseParser(LIMITS, current.request.withoutResponseBody());
     socket
         .orElseThrow()
         .write(ByteBuf.wrapForReading(current.request.bytes()))
@@ -170,8 +178,8 @@
     buf.recycle();
     try {
       consumeResponses();
-    } catch (ResponseParser.MalformedResponseException e) {
-      fail(ConnectionFailure.MALFORMED);
+    } catch (MalformedResponseException e) {
+      giveUpResponse(e.getMessage());
       return;
     }
     if (exchange.isPresent()) {
@@ -193,12 +201,20 @@
 
   /** Gives up the response, as all incomplete responses together hold too much memory. */
   private void dropResponse() {
+    giveUpResponse(
+        "size of the response is " + parser.heldBytes() + " bytes, for which no room is left");
+  }
+
+  /** Closes the connection, as nothing tells what the next bytes on it would be. */
+  private void giveUpResponse(String problem) {
+    exchange.ifPresent(
+        current -> malformedResponses.record(address, current.request.id(), problem));
     fail(ConnectionFailure.MALFORMED);
   }
 
-  private void consumeResponses() throws ResponseParser.MalformedResponseException {
+  private void consumeResponses() throws MalformedResponseException {
     while (exchange.isPresent()) {
-      Optional<EndpointResponse> response = parser.next();
+      Optional<EndpointResponse> response = parser.next().map(EndpointResponse::of);
       if (response.isEmpty()) {
         streamBody(exchange.get());
         return;
@@ -217,7 +233,7 @@
    */
   private void streamBody(Exchange current) {
     if (current.body.isEmpty()) {
-      Optional<EndpointResponse> head = parser.incomplete();
+      Optional<EndpointResponse> head = parser.incomplete().map(EndpointResponse::withoutBody);
       if (current.request.transfer().isEmpty()
           || head.isEmpty()
           || !head.get().isSuccess()
@@ -248,7 +264,7 @@
         !mustClose && done.written && !parser.hasUnconsumedBytes() && !requestsClose(response);
     exchange = Optional.empty();
     responseBuffers.remove(this);
-    parser = new ResponseParser(false);
+    parser = new ResponseParser(LIMITS, /* withoutBody= */ false);
     if (!reusable) {
       close();
     }
@@ -286,7 +302,7 @@
 
   private void onEndOfStream() {
     Optional<EndpointResponse> last =
-        exchange.isPresent() ? parser.atEndOfStream() : Optional.empty();
+        exchange.isPresent() ? parser.atEndOfStream().map(EndpointResponse::of) : Optional.empty();
     if (last.isPresent() && !isForOtherRequest(last.get())) {
       mustClose = true;
       finish(last.get());
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
@@ -47,6 +47,7 @@
   private final HeaderNames headerNames;
   private final Map<HostAndPort, AddressPool> pools = new HashMap<>();
   private final BufferBudget<EndpointConnection> responseBuffers;
+  private final MalformedResponseLog malformedResponses;
   private final IdleConnectionLimits idleLimits = new IdleConnectionLimits();
   private long lastResponseNanos = Long.MIN_VALUE / 2;
 
@@ -69,10 +70,12 @@
   EndpointConnectionPool(
       NioReactor reactor,
       HeaderNames headerNames,
-      BufferBudget<EndpointConnection> responseBuffers) {
+      BufferBudget<EndpointConnection> responseBuffers,
+      MalformedResponseLog malformedResponses) {
     this.reactor = reactor;
     this.headerNames = headerNames;
     this.responseBuffers = responseBuffers;
+    this.malformedResponses = malformedResponses;
   }
 
   /**
@@ -158,6 +161,7 @@
             new InetSocketAddress(address.host(), address.port()),
             headerNames,
             responseBuffers,
+            malformedResponses,
             () -> pool.open.remove(self[0]));
     pool.open.add(self[0]);
     return self[0];
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointResponse.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointResponse.java
@@ -2,6 +2,9 @@
 
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
+import org.mustardstage.core.http.HeaderList;
+import org.mustardstage.core.http.ResponseHead;
+import org.mustardstage.core.http.ResponseParser;
 
 /**
  * A response of an endpoint: complete, or one whose body is still arriving.
@@ -26,6 +29,17 @@
     this(status, headers, body, Optional.empty());
   }
 
+  /** Creates a response from what the endpoint sent. */
+  static EndpointResponse of(ResponseParser.Response response) {
+    return new EndpointResponse(
+        response.head().status(), response.head().headers(), response.body());
+  }
+
+  /** Creates a response of which only the head has arrived. */
+  static EndpointResponse withoutBody(ResponseHead head) {
+    return new EndpointResponse(head.status(), head.headers(), new byte[0]);
+  }
+
   /** Returns the response with its body in {@code newStream}. */
   EndpointResponse withStream(StreamedBody newStream) {
     return new EndpointResponse(status, headers, new byte[0], Optional.of(newStream));
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package org.mustardstage.entry.gateway;
 
+import com.google.common.base.Ascii;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -79,6 +80,12 @@
           .help("Hedges, by whether they responded before the first attempt.")
           .labelNames("service", "end")
           .register(registry);
+  private final Counter malformedResponses =
+      Counter.builder()
+          .name("mustardstage_malformed_responses")
+          .help("Responses given up as they were malformed or too large, by who sent them.")
+          .labelNames("peers")
+          .register(registry);
   private final TenantLabels tenantLabels = new TenantLabels(MAX_TENANTS);
 
   /**
@@ -113,6 +120,11 @@
     rejected.labelValues(problem.name()).inc();
   }
 
+  /** Records a response that was given up as it was malformed or too large. */
+  void recordMalformedResponse(MalformedResponseLog.Peers peers) {
+    malformedResponses.labelValues(Ascii.toLowerCase(peers.name())).inc();
+  }
+
   /** Replaces what is known of the services. */
   void setServices(List<ServiceState> services) {
     queued.clear();
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -35,6 +35,7 @@
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.core.quota.QuotaAction;
 import org.mustardstage.core.quota.QuotaMessage;
+import org.mustardstage.entry.gateway.MalformedResponseLog.Peers;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
 import org.mustardstage.entry.traffic.CallerConnections;
@@ -109,8 +110,15 @@
     this.largeResponses =
         new LargeResponses(
             (long) (LARGE_RESPONSES_HEAP_SHARE * heapBytes), responseBuffers::heldBytes, metrics);
-    this.endpointConnections = new EndpointConnectionPool(eventloop, headerNames, responseBuffers);
-    this.vmConnections = new EndpointConnectionPool(eventloop, headerNames, responseBuffers);
+    this.endpointConnections =
+        new EndpointConnectionPool(
+            eventloop,
+            headerNames,
+            responseBuffers,
+            new MalformedResponseLog(Peers.ENDPOINTS, metrics));
+    this.vmConnections =
+        new EndpointConnectionPool(
+            eventloop, headerNames, responseBuffers, new MalformedResponseLog(Peers.VMS, metrics));
     this.relayNetwork =
         new RelayNetwork(
             eventloop,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -18,6 +18,7 @@
 import java.util.function.Supplier;
 import org.mustardstage.core.drain.StopSchedule;
 import org.mustardstage.core.gateway.GatewayConfig;
+import org.mustardstage.core.http.HeaderList;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.transfer.TransferBudget;
 import org.mustardstage.entry.log.Event;
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestEncoder.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestEncoder.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.http.HeaderList;
 
 /** Encodes requests as HTTP/1.1 for endpoints and for other VMs. */
 final class RequestEncoder {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestReader.java
@@ -17,6 +17,7 @@
 import java.util.function.Predicate;
 import org.mustardstage.core.gateway.GatewayConfig;
 import org.mustardstage.core.gateway.RoutingRule;
+import org.mustardstage.core.http.HeaderList;
 import org.mustardstage.core.tenant.ApiKeyHash;
 import org.mustardstage.core.tenant.Tenant;
 import org.mustardstage.entry.traffic.Headers;
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestRelay.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.mustardstage.core.http.HeaderList;
 import org.mustardstage.core.id.ConfigVersion;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.member.Member;
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -80,6 +80,8 @@
   ATTEMPTS_LOST(61, Level.INFO),
   /** A request is blocked, as it has ended several endpoints. */
   REQUEST_BLOCKED(62, Level.WARN),
+  /** A response was given up, as it is malformed or too large. */
+  MALFORMED_RESPONSE(63, Level.WARN),
   /** The control thread caught an unexpected exception. */
   CONTROL_FAULT(90, Level.ERROR),
   /** The traffic thread caught an unexpected exception. */
--- a/entry/src/test/java/org/mustardstage/entry/gateway/CallerRequestTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/CallerRequestTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.core.gateway.WeightedService;
+import org.mustardstage.core.http.HeaderList;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.placement.RequestFingerprint;
 import org.mustardstage.core.tenant.ApiKeyHash;
--- a/entry/src/test/java/org/mustardstage/entry/gateway/HealthCheckTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/HealthCheckTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
+import org.mustardstage.core.http.HeaderList;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.id.ZoneId;
