Check the responses of endpoints in deployments by manifest too

Cause: org.mustardstage.entry.traffic reads responses with the HTTP client of the library, which takes any byte in names, values, reasons, chunk lines and trailers.

Change: ResponseCheck sees the bytes before the client does, through the inspector of the socket, and closes the connection if core.http.ResponseParser rejects them. An attempt whose connection ended so was malformed before too: another endpoint for idempotent requests, 502 answer-malformed for others. What follows a complete response closes the connection after it.

Tried and left: another client for these endpoints, as request and response bodies are streamed through the library's.

--- a/core/src/main/java/org/mustardstage/core/http/ResponseParser.java
+++ b/core/src/main/java/org/mustardstage/core/http/ResponseParser.java
@@ -1,6 +1,7 @@
 package org.mustardstage.core.http;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.math.LongMath;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
@@ -218,7 +219,7 @@
       case BodyFraming.Chunked chunked -> state = State.CHUNK_SIZE;
       case BodyFraming.UntilClose untilClose -> {
         // One byte more than allowed, so that the end of the connection is awaited.
-        remainingBytes = limits.maxBodyBytes() - allBodyBytes + 1;
+        remainingBytes = LongMath.saturatedAdd(limits.maxBodyBytes() - allBodyBytes, 1);
         state = State.BODY;
       }
     }
--- a/core/src/test/java/org/mustardstage/core/http/ResponseParserTest.java
+++ b/core/src/test/java/org/mustardstage/core/http/ResponseParserTest.java
@@ -62,6 +62,17 @@
     assertThat(bodyOf(parser.atEndOfStream().orElseThrow()), is("hello"));
   }
 
+  @Test
+  void bodyWithoutLengthMayBeOfAnySize() throws MalformedResponseException {
+    ResponseParser unlimited =
+        new ResponseParser(ResponseLimits.withBodyOf(Long.MAX_VALUE), /* withoutBody= */ false);
+    byte[] bytes = "HTTP/1.1 200 OK\r\n\r\nhello".getBytes(StandardCharsets.ISO_8859_1);
+    unlimited.add(bytes, 0, bytes.length);
+
+    assertThat(unlimited.next(), is(Optional.empty()));
+    assertThat(bodyOf(unlimited.atEndOfStream().orElseThrow()), is("hello"));
+  }
+
   @Test
   void bytesAfterAResponseAreReportedAsUnconsumed() throws MalformedResponseException {
     add("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n");
--- /dev/null
+++ b/entry/src/main/java/org/mustardstage/entry/http/ResponseCheck.java
@@ -0,0 +1,85 @@
+package org.mustardstage.entry.http;
+
+import com.google.common.net.InetAddresses;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.http.MalformedHttpException;
+import io.activej.net.socket.tcp.TcpSocket;
+import java.util.Optional;
+import org.mustardstage.core.http.MalformedResponseException;
+import org.mustardstage.core.http.ResponseLimits;
+import org.mustardstage.core.http.ResponseParser;
+import org.mustardstage.entry.log.Event;
+import org.mustardstage.entry.log.EventLog;
+
+/**
+ * Checks the bytes of one connection before the HTTP client of the library gets them. If they are
+ * no response, the connection is closed instead, and the request on it fails with a {@link
+ * MalformedHttpException}. The check keeps no body.
+ */
+public final class ResponseCheck {
+  private final ResponseLimits limits;
+
+  /** The parser of the response that is awaited; empty if no request is in flight. */
+  private Optional<ResponseParser> parser = Optional.empty();
+
+  private String requestId = "";
+  private boolean extraBytes;
+
+  /** Creates a check of a connection without a request. */
+  public ResponseCheck(ResponseLimits limits) {
+    this.limits = limits;
+  }
+
+  /**
+   * Expects the response to a request that is about to be sent.
+   *
+   * @param newRequestId the id of the request for the log; may be empty
+   * @param withoutBody whether the response has no body whatever its headers say
+   */
+  public void beginRequest(String newRequestId, boolean withoutBody) {
+    requestId = newRequestId;
+    parser = Optional.of(new ResponseParser(limits, withoutBody));
+  }
+
+  /** Returns whether a request has been sent whose response is incomplete. */
+  public boolean isInFlight() {
+    return parser.isPresent();
+  }
+
+  /** Returns whether bytes arrived after a response, so that the connection can't be reused. */
+  public boolean hasExtraBytes() {
+    return extraBytes;
+  }
+
+  /** Checks bytes that were read; closes {@code socket} if they are no part of a response. */
+  public void onRead(TcpSocket socket, ByteBuf buf) {
+    if (parser.isEmpty()) {
+      // Without a request, the client closes the connection; with one, these bytes don't answer it.
+      extraBytes = true;
+      return;
+    }
+    ResponseParser current = parser.get();
+    current.add(buf.array(), buf.head(), buf.readRemaining());
+    try {
+      if (current.next().isPresent()) {
+        extraBytes = current.hasUnconsumedBytes();
+        parser = Optional.empty();
+      } else if (current.incomplete().isPresent()) {
+        current.takeBody();
+      }
+    } catch (MalformedResponseException e) {
+      parser = Optional.empty();
+      EventLog.log(
+          Event.MALFORMED_RESPONSE,
+          "peer",
+          InetAddresses.toUriString(socket.getRemoteAddress().getAddress())
+              + ":"
+              + socket.getRemoteAddress().getPort(),
+          "request",
+          requestId,
+          "problem",
+          e.getMessage());
+      socket.closeEx(new MalformedHttpException(e.getMessage(), e));
+    }
+  }
+}
--- a/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnection.java
@@ -1,10 +1,12 @@
 package org.mustardstage.entry.traffic;
 
+import com.google.common.base.Strings;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.common.inspector.AbstractInspector;
 import io.activej.dns.protocol.DnsResponse;
 import io.activej.http.HttpClient;
 import io.activej.http.HttpClientConnection;
+import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.http.MalformedHttpException;
@@ -16,6 +18,8 @@
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
+import org.mustardstage.core.http.ResponseLimits;
+import org.mustardstage.entry.http.ResponseCheck;
 
 /**
  * One connection to an endpoint, which carries one request at a time. A connection whose request
@@ -26,10 +30,14 @@
   // The pool limits the idle time. This only keeps the HTTP client from closing connections itself.
   private static final Duration CLIENT_KEEP_ALIVE = Duration.ofHours(1);
 
+  /** Bodies of any size are streamed. */
+  private static final ResponseLimits LIMITS = ResponseLimits.withBodyOf(Long.MAX_VALUE);
+
   private final NioReactor reactor;
   private final HttpClient client;
   private final Runnable onStateChange;
   private final long createdNanos = System.nanoTime();
+  private final ResponseCheck responseCheck = new ResponseCheck(LIMITS);
   private BooleanSupplier maySend = () -> false;
   private @Nullable TcpSocket socket;
   private int requestsSent;
@@ -74,6 +82,9 @@
     this.maySend = maySend;
     requestsSent++;
     bytesSent = false;
+    responseCheck.beginRequest(
+        Strings.nullToEmpty(request.getHeader(Headers.REQUEST_ID)),
+        request.getMethod() == HttpMethod.HEAD);
     connected = isOpen();
     if (connected && !maySend.getAsBoolean()) {
       close();
@@ -161,6 +172,8 @@
     @Override
     public void onRead(TcpSocket socket, ByteBuf buf) {
       lastReadNanos = System.nanoTime();
+      responseCheck.onRead(socket, buf);
+      closesAfterResponse |= responseCheck.hasExtraBytes();
     }
 
     @Override
--- a/entry/src/test/java/org/mustardstage/entry/gateway/BrokenResponseTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/BrokenResponseTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.mustardstage.entry.http.MalformedResponse;
 import org.mustardstage.entry.log.Event;
 import org.slf4j.LoggerFactory;
 
@@ -28,96 +29,11 @@
  */
 @Timeout(60)
 class BrokenResponseTest extends GatewayTestBed {
-  private static final String STATUS_LINE = "HTTP/1.1 200 OK";
-  private static final String LENGTH = "Content-Length: 6";
-  private static final String CHUNKED = "Transfer-Encoding: chunked";
+  private static final String HEADERS = "X-Request-Id: r-1\r\nX-Server-Seal: seal\r\n";
 
   /** A request that waits for its deadline or timeout instead takes a second or longer. */
   private static final Duration AT_ONCE = Duration.ofMillis(800);
 
-  /** What is wrong with the response of the first endpoint. */
-  enum Fault {
-    BLANK_IN_NAME(STATUS_LINE, "X Filler: a", LENGTH, "broken"),
-    CONTROL_BYTE_IN_NAME(STATUS_LINE, "X-\u0001Filler: a", LENGTH, "broken"),
-    DEL_IN_NAME(STATUS_LINE, "X-\u007fFiller: a", LENGTH, "broken"),
-    NON_ASCII_IN_NAME(STATUS_LINE, "X-F\u00fcller: a", LENGTH, "broken"),
-    DELIMITER_IN_NAME(STATUS_LINE, "X(Filler): a", LENGTH, "broken"),
-    BLANK_BEFORE_COLON(STATUS_LINE, "X-Filler : a", LENGTH, "broken"),
-    BLANK_BEFORE_COLON_OF_LENGTH(STATUS_LINE, "X-Filler: a", "Content-Length : 6", "broken"),
-    TAB_BEFORE_COLON(STATUS_LINE, "X-Filler\t: a", LENGTH, "broken"),
-    BLANK_BEFORE_NAME(STATUS_LINE, " X-Filler: a", LENGTH, "broken"),
-    NO_COLON(STATUS_LINE, "X-Filler", LENGTH, "broken"),
-    EMPTY_NAME(STATUS_LINE, ": a", LENGTH, "broken"),
-    NUL_IN_VALUE(STATUS_LINE, "X-Filler: a\u0000b", LENGTH, "broken"),
-    CONTROL_BYTE_AROUND_VALUE(STATUS_LINE, "X-Filler: \u0001a\u0002", LENGTH, "broken"),
-    BARE_CR_IN_VALUE(STATUS_LINE, "X-Filler: a\rb", LENGTH, "broken"),
-    BARE_LF_IN_VALUE(STATUS_LINE, "X-Filler: a\nb", LENGTH, "broken"),
-    FOLDED_VALUE(STATUS_LINE, "X-Filler: a\r\n b", LENGTH, "broken"),
-    CONTROL_BYTE_AROUND_LENGTH(
-        STATUS_LINE, "X-Filler: a", "Content-Length: \u00016\u0001", "broken"),
-    STATUS_000("HTTP/1.1 000 OK", "X-Filler: a", LENGTH, "broken"),
-    STATUS_099("HTTP/1.1 099 OK", "X-Filler: a", LENGTH, "broken"),
-    STATUS_600("HTTP/1.1 600 OK", "X-Filler: a", LENGTH, "broken"),
-    STATUS_999("HTTP/1.1 999 OK", "X-Filler: a", LENGTH, "broken"),
-    STATUS_OF_FOUR_DIGITS("HTTP/1.1 2000 OK", "X-Filler: a", LENGTH, "broken"),
-    STATUS_OF_TWO_DIGITS("HTTP/1.1 20 OK", "X-Filler: a", LENGTH, "broken"),
-    SWITCHED_PROTOCOLS("HTTP/1.1 101 OK", "X-Filler: a", "Upgrade: x", STATUS_LINE + "\r\n\r\n"),
-    NO_BLANK_AFTER_STATUS("HTTP/1.1 200", "X-Filler: a", LENGTH, "broken"),
-    TAB_IN_STATUS_LINE("HTTP/1.1\t200 OK", "X-Filler: a", LENGTH, "broken"),
-    CONTROL_BYTE_IN_REASON("HTTP/1.1 200 O\u0001K", "X-Filler: a", LENGTH, "broken"),
-    DEL_IN_REASON("HTTP/1.1 200 \u007f", "X-Filler: a", LENGTH, "broken"),
-    BARE_CR_IN_REASON("HTTP/1.1 200 O\rK", "X-Filler: a", LENGTH, "broken"),
-    BARE_LF_ENDS_STATUS_LINE("HTTP/1.1 200 OK\nX-A: b", "X-Filler: a", LENGTH, "broken"),
-    OTHER_VERSION("HTTP/2.0 200 OK", "X-Filler: a", LENGTH, "broken"),
-    NO_VERSION("200 OK", "X-Filler: a", LENGTH, "broken"),
-    SIGNED_LENGTH(STATUS_LINE, "X-Filler: a", "Content-Length: +6", "broken"),
-    LENGTH_IN_HEX(STATUS_LINE, "X-Filler: a", "Content-Length: 0x6", "broken"),
-    LENGTHS_IN_ONE_LINE(STATUS_LINE, "X-Filler: a", "Content-Length: 6, 6", "broken"),
-    LENGTHS_IN_TWO_LINES(STATUS_LINE, LENGTH, LENGTH, "broken"),
-    CODING_IN_HTTP_1_0("HTTP/1.0 200 OK", "X-Filler: a", CHUNKED, "6\r\nbroken\r\n0\r\n\r\n"),
-    UNKNOWN_CODING(STATUS_LINE, "X-Filler: a", "Transfer-Encoding: br", "broken"),
-    CONTROL_BYTE_AROUND_CODING(
-        STATUS_LINE, "X-Filler: a", "Transfer-Encoding: \u0001chunked", "6\r\nbroken\r\n0\r\n\r\n"),
-    CONTROL_BYTE_IN_CHUNK_SIZE(
-        STATUS_LINE, "X-Filler: a", CHUNKED, "\u00016\r\nbroken\r\n0\r\n\r\n"),
-    BLANK_AFTER_CHUNK_SIZE(STATUS_LINE, "X-Filler: a", CHUNKED, "6 \r\nbroken\r\n0\r\n\r\n"),
-    BROKEN_CHUNK_EXTENSION(STATUS_LINE, "X-Filler: a", CHUNKED, "6;a b\r\nbroken\r\n0\r\n\r\n"),
-    BARE_LF_AFTER_CHUNK_SIZE(STATUS_LINE, "X-Filler: a", CHUNKED, "6\nbroken\r\n0\r\n\r\n"),
-    BLANK_IN_TRAILER_NAME(
-        STATUS_LINE, "X-Filler: a", CHUNKED, "6\r\nbroken\r\n0\r\nX Filler: a\r\n\r\n"),
-    CONTROL_BYTE_IN_TRAILER(
-        STATUS_LINE, "X-Filler: a", CHUNKED, "6\r\nbroken\r\n0\r\nX-Filler: \u0001\r\n\r\n"),
-    NO_COLON_IN_TRAILER(
-        STATUS_LINE, "X-Filler: a", CHUNKED, "6\r\nbroken\r\n0\r\nX-Filler\r\n\r\n"),
-    BROKEN_INTERIM_RESPONSE(
-        "HTTP/1.1 100 Continue\r\nX Filler: a\r\n\r\n" + STATUS_LINE,
-        "X-Filler: a",
-        LENGTH,
-        "broken");
-
-    private final String statusLine;
-    private final String field;
-    private final String framing;
-    private final String body;
-
-    Fault(String statusLine, String field, String framing, String body) {
-      this.statusLine = statusLine;
-      this.field = field;
-      this.framing = framing;
-      this.body = body;
-    }
-
-    private String toText() {
-      return statusLine
-          + "\r\nX-Request-Id: r-1\r\nX-Server-Seal: seal\r\n"
-          + field
-          + "\r\n"
-          + framing
-          + "\r\n\r\n"
-          + body;
-    }
-  }
-
   /** Makes the endpoint that is asked first respond with {@code text}, and later ones soundly. */
   private void respondFirstWith(String text) {
     AtomicInteger asked = new AtomicInteger();
@@ -146,8 +62,9 @@
 
   @ParameterizedTest
   @EnumSource
-  void idempotentRequestGetsTheResponseOfAnotherEndpoint(Fault fault) throws Exception {
-    respondFirstWith(fault.toText());
+  void idempotentRequestGetsTheResponseOfAnotherEndpoint(MalformedResponse malformed)
+      throws Exception {
+    respondFirstWith(malformed.toText(HEADERS));
     long sentNanos = System.nanoTime();
 
     HttpResponse<String> response = get(IDEMPOTENT_PATH);
@@ -160,9 +77,10 @@
 
   @ParameterizedTest
   @EnumSource
-  void nonIdempotentRequestEndsWithAnErrorThatPromisesNothing(Fault fault) throws Exception {
+  void nonIdempotentRequestEndsWithAnErrorThatPromisesNothing(MalformedResponse malformed)
+      throws Exception {
     publish(first);
-    respondFirstWith(fault.toText());
+    respondFirstWith(malformed.toText(HEADERS));
     long sentNanos = System.nanoTime();
 
     HttpResponse<String> response = post(NON_IDEMPOTENT_PATH, "x");
@@ -178,7 +96,7 @@
   @Test
   void malformedResponseIsLoggedAndCounted() throws Exception {
     publish(first);
-    respondFirstWith(Fault.BLANK_IN_NAME.toText());
+    respondFirstWith(MalformedResponse.BLANK_IN_NAME.toText(HEADERS));
     ListAppender<ILoggingEvent> appender = new ListAppender<>();
     Logger logger = (Logger) LoggerFactory.getLogger("mustardstage");
     appender.start();
@@ -234,7 +152,7 @@
       })
   void unusualButValidResponseIsForwarded(String format) throws Exception {
     publish(first);
-    respondFirstWith(format.formatted("X-Request-Id: r-1\r\nX-Server-Seal: seal\r\n"));
+    respondFirstWith(format.formatted(HEADERS));
 
     HttpResponse<String> response = post(NON_IDEMPOTENT_PATH, "x");
 
