Check the responses of the platform's services, count malformed ones everywhere

Change: ResponseInspector applies ResponseCheck to each connection of a client and closes one on which bytes follow a response. Endpoints, other VMs and the platform are counted for the whole process (MalformedResponses), so that deployments by manifest count them too.

First try: withSocketInspector alone changed nothing, as the library inspects plain connections by what is set for those with TLS.

--- a/entry/src/main/java/org/mustardstage/entry/control/ControlMetrics.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
+import io.prometheus.metrics.model.snapshots.Labels;
 import io.prometheus.metrics.model.snapshots.MetricSnapshot;
 import io.prometheus.metrics.model.snapshots.MetricSnapshots;
 import java.io.ByteArrayOutputStream;
@@ -13,6 +14,8 @@
 import java.util.List;
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.permit.PermitStatus;
+import org.mustardstage.entry.http.MalformedResponses;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 import org.mustardstage.entry.peer.LinkStats;
 
 /** Exports the state of the control thread in the Prometheus text format. */
@@ -78,12 +81,28 @@
             "mustardstage_control_cpu_seconds",
             "Processor time of the control thread.",
             control.threadCpuNanos() / NANOS_PER_SECOND),
+        malformedResponses(),
         gauge(
             "mustardstage_heap_used_bytes",
             "Heap in use.",
             ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed()));
   }
 
+  private static CounterSnapshot malformedResponses() {
+    CounterSnapshot.Builder builder =
+        CounterSnapshot.builder()
+            .name("mustardstage_malformed_responses")
+            .help("Responses given up as they were malformed or too large, by who sent them.");
+    for (Peers peers : Peers.values()) {
+      builder.dataPoint(
+          CounterSnapshot.CounterDataPointSnapshot.builder()
+              .labels(Labels.of("peers", peers.label()))
+              .value((double) MalformedResponses.count(peers))
+              .build());
+    }
+    return builder.build();
+  }
+
   private long version() {
     return control.snapshot().version().number();
   }
--- a/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/control/ControlThread.java
@@ -1,14 +1,11 @@
 package org.mustardstage.entry.control;
 
-import io.activej.dns.DnsClient;
 import io.activej.eventloop.Eventloop;
-import io.activej.http.HttpClient;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.Reactor;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
-import java.net.InetAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -96,7 +93,8 @@
             .withFatalErrorHandler((e, context) -> EventLog.log(Event.CONTROL_FAULT, e))
             .build();
     this.platform =
-        new HttpPlatformClient(httpClient(), settings.platformAddress(), settings.zone());
+        new HttpPlatformClient(
+            eventloop, PLATFORM_TIMEOUT, settings.platformAddress(), settings.zone());
     this.membership = new Membership(membershipSettings, self, clock.getAsLong());
     this.memberView = new AtomicReference<>(membership.view(clock.getAsLong()));
     this.snapshot = new AtomicReference<>(newSnapshot(ConfigHead.NONE));
@@ -133,15 +131,6 @@
     return (int) memberView.get().statuses().stream().filter(s -> !s.provenGone()).count();
   }
 
-  private HttpClient httpClient() {
-    return HttpClient.builder(
-            eventloop, DnsClient.create(eventloop, InetAddress.getLoopbackAddress()))
-        .withConnectTimeout(PLATFORM_TIMEOUT)
-        .withReadWriteTimeout(PLATFORM_TIMEOUT)
-        .withKeepAliveTimeout(Duration.ofSeconds(10))
-        .build();
-  }
-
   /** Starts the event loop. Returns when other VMs can connect. */
   public void start() throws IOException {
     eventloop.keepAlive(true);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
@@ -18,6 +18,8 @@
 import org.mustardstage.core.http.ResponseLimits;
 import org.mustardstage.core.http.ResponseParser;
 import org.mustardstage.core.overload.BufferBudget;
+import org.mustardstage.entry.http.MalformedResponses;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 
 /**
  * One connection to an endpoint, which carries one request at a time. Bytes that arrive while no
@@ -36,7 +38,7 @@
   private final InetSocketAddress address;
   private final HeaderNames headerNames;
   private final BufferBudget<EndpointConnection> responseBuffers;
-  private final MalformedResponseLog malformedResponses;
+  private final Peers peers;
   private final Runnable onClosed;
   private Optional<TcpSocket> socket = Optional.empty();
   private Optional<Exchange> exchange = Optional.empty();
@@ -80,13 +82,13 @@
       InetSocketAddress address,
       HeaderNames headerNames,
       BufferBudget<EndpointConnection> responseBuffers,
-      MalformedResponseLog malformedResponses,
+      Peers peers,
       Runnable onClosed) {
     this.reactor = reactor;
     this.address = address;
     this.headerNames = headerNames;
     this.responseBuffers = responseBuffers;
-    this.malformedResponses = malformedResponses;
+    this.peers = peers;
     this.onClosed = onClosed;
   }
 
@@ -208,7 +210,7 @@
   /** Closes the connection, as nothing tells what the next bytes on it would be. */
   private void giveUpResponse(String problem) {
     exchange.ifPresent(
-        current -> malformedResponses.record(address, current.request.id(), problem));
+        current -> MalformedResponses.record(peers, address, current.request.id(), problem));
     fail(ConnectionFailure.MALFORMED);
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
@@ -20,6 +20,7 @@
 import org.mustardstage.core.overload.BufferBudget;
 import org.mustardstage.core.placement.IdleConnectionLimits;
 import org.mustardstage.core.transfer.TransferBudget;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 
 /** Pools the connections of one traffic thread to endpoints, or to other VMs. */
 final class EndpointConnectionPool {
@@ -47,7 +48,7 @@
   private final HeaderNames headerNames;
   private final Map<HostAndPort, AddressPool> pools = new HashMap<>();
   private final BufferBudget<EndpointConnection> responseBuffers;
-  private final MalformedResponseLog malformedResponses;
+  private final Peers peers;
   private final IdleConnectionLimits idleLimits = new IdleConnectionLimits();
   private long lastResponseNanos = Long.MIN_VALUE / 2;
 
@@ -65,17 +66,18 @@
   /**
    * Creates a pool without connections.
    *
+   * @param peers what the connections lead to
    * @param responseBuffers the bound on what the buffers of all incomplete responses hold together
    */
   EndpointConnectionPool(
       NioReactor reactor,
       HeaderNames headerNames,
       BufferBudget<EndpointConnection> responseBuffers,
-      MalformedResponseLog malformedResponses) {
+      Peers peers) {
     this.reactor = reactor;
     this.headerNames = headerNames;
     this.responseBuffers = responseBuffers;
-    this.malformedResponses = malformedResponses;
+    this.peers = peers;
   }
 
   /**
@@ -161,7 +163,7 @@
             new InetSocketAddress(address.host(), address.port()),
             headerNames,
             responseBuffers,
-            malformedResponses,
+            peers,
             () -> pool.open.remove(self[0]));
     pool.open.add(self[0]);
     return self[0];
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
@@ -1,7 +1,7 @@
 package org.mustardstage.entry.gateway;
 
-import com.google.common.base.Ascii;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -16,6 +16,8 @@
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.tenant.Tenant;
+import org.mustardstage.entry.http.MalformedResponses;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 
 /**
  * Counts requests by rule, tenant and outcome, measures their duration, and shows the state of
@@ -80,14 +82,22 @@
           .help("Hedges, by whether they responded before the first attempt.")
           .labelNames("service", "end")
           .register(registry);
-  private final Counter malformedResponses =
-      Counter.builder()
-          .name("mustardstage_malformed_responses")
-          .help("Responses given up as they were malformed or too large, by who sent them.")
-          .labelNames("peers")
-          .register(registry);
   private final TenantLabels tenantLabels = new TenantLabels(MAX_TENANTS);
 
+  GatewayMetrics() {
+    CounterWithCallback.builder()
+        .name("mustardstage_malformed_responses")
+        .help("Responses given up as they were malformed or too large, by who sent them.")
+        .labelNames("peers")
+        .callback(
+            callback -> {
+              for (Peers peers : Peers.values()) {
+                callback.call((double) MalformedResponses.count(peers), peers.label());
+              }
+            })
+        .register(registry);
+  }
+
   /**
    * Exposes the memory of large responses. The values are read on the thread that scrapes, which is
    * the traffic thread that writes them.
@@ -120,11 +130,6 @@
     rejected.labelValues(problem.name()).inc();
   }
 
-  /** Records a response that was given up as it was malformed or too large. */
-  void recordMalformedResponse(MalformedResponseLog.Peers peers) {
-    malformedResponses.labelValues(Ascii.toLowerCase(peers.name())).inc();
-  }
-
   /** Replaces what is known of the services. */
   void setServices(List<ServiceState> services) {
     queued.clear();
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -35,7 +35,7 @@
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.core.quota.QuotaAction;
 import org.mustardstage.core.quota.QuotaMessage;
-import org.mustardstage.entry.gateway.MalformedResponseLog.Peers;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 import org.mustardstage.entry.log.Event;
 import org.mustardstage.entry.log.EventLog;
 import org.mustardstage.entry.traffic.CallerConnections;
@@ -111,14 +111,9 @@
         new LargeResponses(
             (long) (LARGE_RESPONSES_HEAP_SHARE * heapBytes), responseBuffers::heldBytes, metrics);
     this.endpointConnections =
-        new EndpointConnectionPool(
-            eventloop,
-            headerNames,
-            responseBuffers,
-            new MalformedResponseLog(Peers.ENDPOINTS, metrics));
+        new EndpointConnectionPool(eventloop, headerNames, responseBuffers, Peers.ENDPOINTS);
     this.vmConnections =
-        new EndpointConnectionPool(
-            eventloop, headerNames, responseBuffers, new MalformedResponseLog(Peers.VMS, metrics));
+        new EndpointConnectionPool(eventloop, headerNames, responseBuffers, Peers.VMS);
     this.relayNetwork =
         new RelayNetwork(
             eventloop,
--- a/entry/src/main/java/org/mustardstage/entry/http/ResponseCheck.java
+++ b/entry/src/main/java/org/mustardstage/entry/http/ResponseCheck.java
@@ -1,6 +1,5 @@
 package org.mustardstage.entry.http;
 
-import com.google.common.net.InetAddresses;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.http.MalformedHttpException;
 import io.activej.net.socket.tcp.TcpSocket;
@@ -8,8 +7,7 @@
 import org.mustardstage.core.http.MalformedResponseException;
 import org.mustardstage.core.http.ResponseLimits;
 import org.mustardstage.core.http.ResponseParser;
-import org.mustardstage.entry.log.Event;
-import org.mustardstage.entry.log.EventLog;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 
 /**
  * Checks the bytes of one connection before the HTTP client of the library gets them. If they are
@@ -17,6 +15,7 @@
  * MalformedHttpException}. The check keeps no body.
  */
 public final class ResponseCheck {
+  private final Peers peers;
   private final ResponseLimits limits;
 
   /** The parser of the response that is awaited; empty if no request is in flight. */
@@ -25,8 +24,9 @@
   private String requestId = "";
   private boolean extraBytes;
 
-  /** Creates a check of a connection without a request. */
-  public ResponseCheck(ResponseLimits limits) {
+  /** Creates a check of a connection without a request, which leads to one of {@code peers}. */
+  public ResponseCheck(Peers peers, ResponseLimits limits) {
+    this.peers = peers;
     this.limits = limits;
   }
 
@@ -69,16 +69,7 @@
       }
     } catch (MalformedResponseException e) {
       parser = Optional.empty();
-      EventLog.log(
-          Event.MALFORMED_RESPONSE,
-          "peer",
-          InetAddresses.toUriString(socket.getRemoteAddress().getAddress())
-              + ":"
-              + socket.getRemoteAddress().getPort(),
-          "request",
-          requestId,
-          "problem",
-          e.getMessage());
+      MalformedResponses.record(peers, socket.getRemoteAddress(), requestId, e.getMessage());
       socket.closeEx(new MalformedHttpException(e.getMessage(), e));
     }
   }
--- a/entry/src/main/java/org/mustardstage/entry/http/ResponseInspector.java
+++ b/entry/src/main/java/org/mustardstage/entry/http/ResponseInspector.java
@@ -2,10 +2,12 @@
 
 import io.activej.bytebuf.ByteBuf;
 import io.activej.common.inspector.AbstractInspector;
+import io.activej.http.HttpClient;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.Reactor;
 import java.io.IOException;
 import org.mustardstage.core.http.ResponseLimits;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 
 /**
  * Applies a {@link ResponseCheck} to each connection of an HTTP client that sends no HEAD requests.
@@ -14,21 +16,32 @@
 public final class ResponseInspector extends AbstractInspector<TcpSocket.Inspector>
     implements TcpSocket.Inspector {
   private final Reactor reactor;
+  private final Peers peers;
   private final ResponseLimits limits;
 
-  /** Creates an inspector of a client that runs on {@code reactor}. */
-  public ResponseInspector(Reactor reactor, ResponseLimits limits) {
+  private ResponseInspector(Reactor reactor, Peers peers, ResponseLimits limits) {
     this.reactor = reactor;
+    this.peers = peers;
     this.limits = limits;
   }
 
+  /**
+   * Adds the inspector to a client. The library inspects plain connections by what is set for those
+   * with TLS, so both are set.
+   */
+  public static HttpClient.Builder addTo(
+      HttpClient.Builder client, Reactor reactor, Peers peers, ResponseLimits limits) {
+    ResponseInspector inspector = new ResponseInspector(reactor, peers, limits);
+    return client.withSocketInspector(inspector).withSocketSslInspector(inspector);
+  }
+
   private static ResponseCheck checkOf(TcpSocket socket) {
     return (ResponseCheck) socket.getUserData();
   }
 
   @Override
   public void onConnect(TcpSocket socket) {
-    socket.setUserData(new ResponseCheck(limits));
+    socket.setUserData(new ResponseCheck(peers, limits));
   }
 
   @Override
--- a/entry/src/main/java/org/mustardstage/entry/platform/HttpPlatformClient.java
+++ b/entry/src/main/java/org/mustardstage/entry/platform/HttpPlatformClient.java
@@ -2,20 +2,27 @@
 
 import com.google.common.hash.Hashing;
 import io.activej.bytebuf.ByteBuf;
+import io.activej.dns.DnsClient;
 import io.activej.http.HttpClient;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
 import io.vavr.control.Either;
 import java.net.ConnectException;
+import java.net.InetAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.mustardstage.core.http.ResponseLimits;
 import org.mustardstage.core.id.ZoneId;
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.Member;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
+import org.mustardstage.entry.http.ResponseInspector;
 
 /**
  * Calls the table service, the object store and the VM list of the platform over HTTP. All methods
@@ -27,15 +34,29 @@
   private static final int CONFLICT = 409;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int MAX_BODY_BYTES = 64 << 20;
+  private static final Duration IDLE_CONNECTION_TIMEOUT = Duration.ofSeconds(10);
   private static final String ZONE_HEADER = "Mustardstage-Zone";
 
   private final HttpClient client;
   private final HostAndPort address;
   private final ZoneId zone;
 
-  /** Creates a client for the platform at {@code address}, used by a VM in {@code zone}. */
-  public HttpPlatformClient(HttpClient client, HostAndPort address, ZoneId zone) {
-    this.client = client;
+  /**
+   * Creates a client for the platform at {@code address}, used by a VM in {@code zone}.
+   *
+   * @param timeout bounds each connect, read and write
+   */
+  public HttpPlatformClient(
+      NioReactor reactor, Duration timeout, HostAndPort address, ZoneId zone) {
+    HttpClient.Builder builder =
+        HttpClient.builder(reactor, DnsClient.create(reactor, InetAddress.getLoopbackAddress()))
+            .withConnectTimeout(timeout)
+            .withReadWriteTimeout(timeout)
+            .withKeepAliveTimeout(IDLE_CONNECTION_TIMEOUT);
+    this.client =
+        ResponseInspector.addTo(
+                builder, reactor, Peers.PLATFORM, ResponseLimits.withBodyOf(MAX_BODY_BYTES))
+            .build();
     this.address = address;
     this.zone = zone;
   }
--- a/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnection.java
@@ -19,6 +19,7 @@
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.mustardstage.core.http.ResponseLimits;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 import org.mustardstage.entry.http.ResponseCheck;
 
 /**
@@ -37,7 +38,7 @@
   private final HttpClient client;
   private final Runnable onStateChange;
   private final long createdNanos = System.nanoTime();
-  private final ResponseCheck responseCheck = new ResponseCheck(LIMITS);
+  private final ResponseCheck responseCheck;
   private BooleanSupplier maySend = () -> false;
   private @Nullable TcpSocket socket;
   private int requestsSent;
@@ -51,15 +52,18 @@
   /**
    * Creates a connection that is opened when its first request is sent.
    *
+   * @param peers what the address belongs to
    * @param onStateChange runs when a response was read whole, so that the connection can be reused,
    *     and when the connection was closed
    */
   EndpointConnection(
       NioReactor reactor,
       InetSocketAddress address,
+      Peers peers,
       long connectTimeoutMillis,
       Runnable onStateChange) {
     this.reactor = reactor;
+    this.responseCheck = new ResponseCheck(peers, LIMITS);
     this.onStateChange = onStateChange;
     SocketInspector socketInspector = new SocketInspector();
     client =
--- a/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnectionPool.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/EndpointConnectionPool.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 
 /**
  * The pool of connections of one traffic thread to one endpoint. A connection is reused only within
@@ -18,6 +19,7 @@
 final class EndpointConnectionPool {
   private final NioReactor reactor;
   private final InetSocketAddress address;
+  private final Peers peers;
   private final TrafficLimits limits;
   private final int maxConnections;
   private final Deque<EndpointConnection> idleConnections = new ArrayDeque<>();
@@ -25,8 +27,13 @@
   private long lastAcquiredNanos = System.nanoTime();
 
   EndpointConnectionPool(
-      NioReactor reactor, InetSocketAddress address, TrafficLimits limits, int maxConnections) {
+      NioReactor reactor,
+      InetSocketAddress address,
+      Peers peers,
+      TrafficLimits limits,
+      int maxConnections) {
     this.reactor = reactor;
+    this.peers = peers;
     this.address = address;
     this.limits = limits;
     this.maxConnections = maxConnections;
@@ -75,7 +82,7 @@
 
   /** Returns a new connection for probes or cancels that does not count towards the limit. */
   EndpointConnection createUnpooled() {
-    return new EndpointConnection(reactor, address, limits.connectTimeoutMillis(), () -> {});
+    return new EndpointConnection(reactor, address, peers, limits.connectTimeoutMillis(), () -> {});
   }
 
   /** Closes every connection. */
@@ -97,7 +104,7 @@
     EndpointConnection[] self = new EndpointConnection[1];
     self[0] =
         new EndpointConnection(
-            reactor, address, limits.connectTimeoutMillis(), () -> onStateChange(self[0]));
+            reactor, address, peers, limits.connectTimeoutMillis(), () -> onStateChange(self[0]));
     openConnections.add(self[0]);
     return self[0];
   }
--- a/entry/src/main/java/org/mustardstage/entry/traffic/TrafficThread.java
+++ b/entry/src/main/java/org/mustardstage/entry/traffic/TrafficThread.java
@@ -17,6 +17,7 @@
 import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.entry.control.Admission;
 import org.mustardstage.entry.control.Snapshot;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -155,19 +156,21 @@
       return pool;
     }
     int sharers = settings.limits().vmsSharingEndpoint() * settings.trafficThreads();
-    return createPool(endpoint.address(), Math.max(1, endpoint.connections() / sharers));
+    return createPool(
+        endpoint.address(), Peers.ENDPOINTS, Math.max(1, endpoint.connections() / sharers));
   }
 
   /** Returns the connection pool of another entry VM. */
   EndpointConnectionPool poolForVm(HostAndPort address) {
     EndpointConnectionPool pool = pools.get(address);
-    return pool != null ? pool : createPool(address, settings.maxCallerConnections());
+    return pool != null ? pool : createPool(address, Peers.VMS, settings.maxCallerConnections());
   }
 
-  private EndpointConnectionPool createPool(HostAndPort address, int maxConnections) {
+  private EndpointConnectionPool createPool(HostAndPort address, Peers peers, int maxConnections) {
     InetSocketAddress socketAddress = new InetSocketAddress(address.host(), address.port());
     EndpointConnectionPool pool =
-        new EndpointConnectionPool(reactor, socketAddress, settings.limits(), maxConnections);
+        new EndpointConnectionPool(
+            reactor, socketAddress, peers, settings.limits(), maxConnections);
     pools.put(address, pool);
     return pool;
   }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/BrokenResponseTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/BrokenResponseTest.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mustardstage.entry.http.MalformedResponse;
+import org.mustardstage.entry.http.MalformedResponses;
+import org.mustardstage.entry.http.MalformedResponses.Peers;
 import org.mustardstage.entry.log.Event;
 import org.slf4j.LoggerFactory;
 
@@ -97,6 +99,7 @@
   void malformedResponseIsLoggedAndCounted() throws Exception {
     publish(first);
     respondFirstWith(MalformedResponse.BLANK_IN_NAME.toText(HEADERS));
+    long countBefore = MalformedResponses.count(Peers.ENDPOINTS);
     ListAppender<ILoggingEvent> appender = new ListAppender<>();
     Logger logger = (Logger) LoggerFactory.getLogger("mustardstage");
     appender.start();
@@ -118,7 +121,8 @@
             containsString("header name is \"X Filler\" but must be letters, digits and")));
     assertThat(
         new String(metrics.scrape(), StandardCharsets.UTF_8),
-        containsString("mustardstage_malformed_responses_total{peers=\"endpoints\"} 1.0"));
+        containsString(
+            "mustardstage_malformed_responses_total{peers=\"endpoints\"} " + (countBefore + 1.0)));
   }
 
   @ParameterizedTest
