Answer what is unfinished when a stopping VM exits

What operators of other systems saw: in a planned stop, requests that came late in the grace were taken, and cut without an answer at its end.

Requests taken before SIGTERM with more time left than the stop were still cut.

Evidence: RequestsAtExitTest, a VM that exits 1 s after its SIGTERM and requests with 2 s, of which the endpoint answers none: both tests ended in the callers' timeouts, as no answer came.

Change: when the time for a stop is over, each request without an outcome gets one: 502 VM_STOPPED if it may have been sent, which promises nothing, and 503 STOPPING if it was not. They have 200 ms to be written, within the half second before the time for the stop ends. Waited for as long as before: an answer that comes in time is still passed on.

Result: both tests pass, StoppingVmTest, GracefulStopTest and GatewayTest too. A large response that is being passed on can't be replaced by an error and is cut visibly, as before.

--- a/core/src/main/java/org/mustardstage/core/drain/StopSchedule.java
+++ b/core/src/main/java/org/mustardstage/core/drain/StopSchedule.java
@@ -13,7 +13,15 @@
  * @param exitNanos when the process exits, whatever is still running
  */
 public record StopSchedule(Duration serveTime, long exitNanos) {
-  /** Subtracted from the time for a stop, so that the process has exited when that ends. */
+  /**
+   * How long the answers to requests that were ended by the exit may take to reach their callers.
+   */
+  public static final Duration LAST_ANSWERS_TIME = Duration.ofMillis(200);
+
+  /**
+   * Subtracted from the time for a stop, so that the process has exited when that ends. Longer than
+   * {@link #LAST_ANSWERS_TIME}.
+   */
   private static final Duration EXIT_MARGIN = Duration.ofMillis(500);
 
   /**
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
@@ -54,7 +54,7 @@
   /**
    * Stops gracefully: leaves the lookup responses, keeps serving for their lifetime what ends
    * before the exit, then rejects all new requests and waits for those in flight, within the time
-   * that the settings allow.
+   * that the settings allow. Requests that have not ended by then get an error.
    */
   public void stop() {
     StopSchedule schedule =
@@ -68,6 +68,8 @@
     sleep(schedule.serveTime().toMillis());
     server.rejectNewRequests();
     server.awaitIdle(schedule.untilExit(System.nanoTime()).toMillis());
+    server.endRequests();
+    server.awaitIdle(StopSchedule.LAST_ANSWERS_TIME.toMillis());
     server.stop();
     control.stop();
     EventLog.log(Event.STOPPED, "vm", settings.vm());
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -337,6 +337,11 @@
     idle.join();
   }
 
+  /** Answers all requests that have no outcome yet, and rejects those whose body is incomplete. */
+  void endRequests() {
+    eventloop.submit(servlet::endRequests).join();
+  }
+
   private void checkIdle(CompletableFuture<Void> done, long deadlineNanos) {
     boolean idle = servlet.inFlight() == 0 && callerConnections.areAllIdle();
     if (idle || System.nanoTime() - deadlineNanos >= 0) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServlet.java
@@ -1,5 +1,6 @@
 package org.mustardstage.entry.gateway;
 
+import com.google.common.collect.ImmutableList;
 import io.activej.csp.consumer.ChannelConsumers;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpHeader;
@@ -12,8 +13,10 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.mustardstage.core.drain.StopSchedule;
@@ -54,8 +57,11 @@
   private final RequestBodyReader bodyReader;
   private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
   private final GatewayMetrics metrics;
+  private final RequestLog requestLog;
   private final HttpHeader requestId;
+  private final Set<RequestExecution> executions = new HashSet<>();
   private int inFlight;
+  private boolean exiting;
 
   GatewayServlet(
       Supplier<Optional<GatewayConfig>> config,
@@ -70,6 +76,7 @@
     this.rejectsNewRequests = rejectsNewRequests;
     this.stopSchedule = stopSchedule;
     this.metrics = metrics;
+    this.requestLog = new RequestLog(metrics);
     this.bodyReader = bodyReader;
     this.requestId = HttpHeaders.of(services.headerNames().requestId());
     this.reader = new RequestReader(services.headerNames(), acceptsKeys);
@@ -80,6 +87,16 @@
     return inFlight;
   }
 
+  /**
+   * Gives each request that has no outcome yet the error of one that was cut short, or rejects it
+   * if it was not sent. Requests whose body is complete only now are rejected.
+   */
+  void endRequests() {
+    exiting = true;
+    ImmutableList.copyOf(executions)
+        .forEach(execution -> execution.onExit(STOPPING_RETRY_AFTER_MILLIS));
+  }
+
   @Override
   public Promise<HttpResponse> serve(HttpRequest httpRequest) {
     long nowNanos = System.nanoTime();
@@ -158,6 +175,9 @@
   /** Executes the request, if there is room for its response. */
   private Promise<HttpResponse> begin(
       CallerRequest request, CallerConnection connection, GatewayConfig activeConfig) {
+    if (exiting) {
+      return Promise.of(notRun(NotRunReasons.STOPPING, STOPPING_RETRY_AFTER_MILLIS));
+    }
     if (!request.rule().largeResponses()) {
       return execute(request, Optional.empty(), connection, activeConfig);
     }
@@ -182,11 +202,13 @@
     RequestExecution execution =
         new RequestExecution(services, request, transfer, activeConfig.version());
     connection.setDisconnectHandler(execution::onCallerDisconnected);
+    executions.add(execution);
     return execution
         .start()
         .map(
             outcome -> {
-              log(request, activeConfig, execution, outcome);
+              executions.remove(execution);
+              requestLog.recordEnd(request, activeConfig.version(), execution, outcome);
               return respond(
                   request,
                   transfer
@@ -196,63 +218,6 @@
             });
   }
 
-  private void log(
-      CallerRequest request,
-      GatewayConfig activeConfig,
-      RequestExecution execution,
-      RequestOutcome outcome) {
-    long nowNanos = System.nanoTime();
-    metrics.recordOutcome(
-        request.rule(), request.tenant(), outcome, nowNanos - request.arrivalNanos());
-    if (execution.isHedged()) {
-      metrics.recordHedge(request.service(), execution.isOvertaken());
-    }
-    if (execution.lostAttempts() > 0) {
-      EventLog.log(
-          Event.ATTEMPTS_LOST,
-          "request",
-          request.id(),
-          "fingerprint",
-          request.fingerprint(),
-          "callerAddress",
-          request.callerAddress().getHostAddress(),
-          "lost",
-          execution.lostAttempts());
-    }
-    EventLog.log(
-        Event.REQUEST_ENDED,
-        "request",
-        request.id(),
-        "rule",
-        request.rule().name(),
-        "tenant",
-        request.tenant().map(tenant -> tenant.name().value()).orElse(""),
-        "config",
-        activeConfig.version(),
-        "service",
-        request.service(),
-        "object",
-        request.affinityKey().orElse(""),
-        "tries",
-        execution.trace(),
-        "tookMillis",
-        (nowNanos - request.arrivalNanos()) / 1_000_000,
-        "leftMillis",
-        (request.deadlineNanos() - nowNanos) / 1_000_000,
-        "end",
-        describe(outcome));
-  }
-
-  private static String describe(RequestOutcome outcome) {
-    return switch (outcome) {
-      case RequestOutcome.Responded responded -> "answered " + responded.response().status();
-      case RequestOutcome.NotRun notRun ->
-          "not-run " + notRun.reason() + " retry-after " + notRun.retryAfterMillis();
-      case RequestOutcome.Unknown unknown -> "unknown " + unknown.cause();
-      case RequestOutcome.CallerDisconnected disconnected -> "caller-left";
-    };
-  }
-
   private HttpResponse respond(
       CallerRequest request, RequestOutcome outcome, CallerConnection connection) {
     return switch (outcome) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -671,6 +671,23 @@
     finish(new RequestOutcome.CallerDisconnected(sent));
   }
 
+  /**
+   * Ends the request, as the process exits before its response can arrive.
+   *
+   * @param retryAfterMillis after how long the caller should retry a request that was not sent
+   */
+  void onExit(long retryAfterMillis) {
+    if (outcome.isComplete()) {
+      return;
+    }
+    boolean sent = mayHaveRun || isInFlight();
+    cancelAttempts();
+    finish(
+        sent
+            ? new RequestOutcome.Unknown(RequestOutcome.Unknown.Cause.VM_STOPPED)
+            : new RequestOutcome.NotRun(NotRunReasons.STOPPING, retryAfterMillis));
+  }
+
   private void cancelAttempts() {
     permit.cancel();
     pendingPlacement.ifPresent(Placer.PendingPlacement::cancel);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestOutcome.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestOutcome.java
@@ -26,6 +26,8 @@
       ANSWER_SPOILED(502),
       /** Attempts failed, and no other endpoint may be tried. */
       ENDPOINT_FAILED(502),
+      /** The VM that the request was sent to stopped before the response arrived. */
+      VM_STOPPED(502),
       /** The deadline or the rule's timeout passed. */
       TIMEOUT(504);
 
