--- a/entry/src/test/java/org/mustardstage/entry/gateway/BrokenResponseTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/BrokenResponseTest.java
@@ -9,6 +9,8 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -164,4 +166,23 @@
     assertThat(response.body(), is("sound"));
     assertThat(response.headers().firstValue("X-Filler"), is(Optional.of("a")));
   }
+
+  @Test
+  void valuesAreForwardedByteByByte() throws Exception {
+    publish(first);
+    respondFirstWith(
+        "HTTP/1.1 200 OK\r\n"
+            + HEADERS
+            + "X-Filler: \u00e4\tb\u00ff\r\nContent-Length: 5\r\n\r\nsound");
+
+    try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), address.port())) {
+      FakeEndpoint.write(
+          caller,
+          "GET /look/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: r-1\r\nX-Deadline-Ms: 3000\r\nConnection: close\r\n\r\n");
+      String response =
+          new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+
+      assertThat(response, containsString("X-Filler: \u00e4\tb\u00ff\r\n"));
+    }
+  }
 }
