--- a/core/src/main/java/org/mustardstage/core/http/ResponseParser.java
+++ b/core/src/main/java/org/mustardstage/core/http/ResponseParser.java
@@ -33,7 +33,7 @@
   /** The bytes of all heads, trailers and chunk extensions so far. */
   private int headBytes;
 
-  private int headers;
+  private int headerCount;
 
   /** The bytes of all bodies so far, of which only the last may be that of the response. */
   private long allBodyBytes;
@@ -101,7 +101,7 @@
    */
   public long heldBytes() {
     long bodyMemory = Math.max(body.length, 2L * bodyBytes);
-    return buffer.length + bodyMemory + headBytes + (long) HEADER_OVERHEAD_BYTES * headers;
+    return buffer.length + bodyMemory + headBytes + (long) HEADER_OVERHEAD_BYTES * headerCount;
   }
 
   /** Returns whether there are bytes that belong to no response returned so far. */
@@ -197,10 +197,10 @@
   }
 
   private HeaderList.Line parseField(String line) throws MalformedResponseException {
-    headers++;
-    if (headers > limits.maxHeaders()) {
+    headerCount++;
+    if (headerCount > limits.maxHeaders()) {
       throw new MalformedResponseException(
-          "number of header lines", String.valueOf(headers), "at most " + limits.maxHeaders());
+          "number of header lines", String.valueOf(headerCount), "at most " + limits.maxHeaders());
     }
     return ResponseHead.parseField(line);
   }
