Bound the first frame of a link between VMs

Found while checking what peers send: any process that connects to the peer port could make the VM hold 16 MB for each connection, as frames were bounded alike before and after a peer has introduced itself.

Evidence: PeerNetworkTest.largeFrameOfAnUnidentifiedSenderClosesItsLink. Before the change its link stayed open; the test hung, since JUnit's timeout doesn't end a read, so awaitClose now has a timeout of its own.

Change: the first frame, which introduces the peer, may have 64 KB.

--- a/entry/src/main/java/org/mustardstage/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/mustardstage/entry/peer/PeerLink.java
@@ -20,6 +20,9 @@
   /** Bounds the memory for one received frame. A link with a larger frame is closed. */
   static final int MAX_FRAME_BYTES = 16 << 20;
 
+  /** Bounds the memory for a peer that has not introduced itself, which may be any process. */
+  private static final int MAX_FIRST_FRAME_BYTES = 64 << 10;
+
   private static final int LENGTH_PREFIX_BYTES = Integer.BYTES;
 
   /**
@@ -27,6 +30,8 @@
    */
   private static final long MAX_UNWRITTEN_BYTES = 32 << 20;
 
+  private final ByteBufsDecoder<ByteBuf> firstFrameDecoder =
+      ByteBufsDecoders.ofIntSizePrefixedBytes(MAX_FIRST_FRAME_BYTES);
   private final ByteBufsDecoder<ByteBuf> frameDecoder =
       ByteBufsDecoders.ofIntSizePrefixedBytes(MAX_FRAME_BYTES);
   private final ITcpSocket socket;
@@ -92,7 +97,7 @@
   /** Handles the frames that have arrived in a loop, as a call for each would exhaust the stack. */
   private void readFrames() {
     while (!closed) {
-      Promise<ByteBuf> frame = input.decode(frameDecoder);
+      Promise<ByteBuf> frame = input.decode(remote.isEmpty() ? firstFrameDecoder : frameDecoder);
       if (!frame.isResult()) {
         frame.whenResult(this::onAwaitedFrame).whenException(this::onError);
         return;
--- a/entry/src/test/java/org/mustardstage/entry/peer/PeerNetworkTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/peer/PeerNetworkTest.java
@@ -38,6 +38,7 @@
 @Timeout(20)
 class PeerNetworkTest {
   private static final int MANY_FRAMES = 20_000;
+  private static final int READ_TIMEOUT_MILLIS = 10_000;
 
   /** The stack of the threads of the deployed process. */
   private static final long STACK_BYTES = 256 << 10;
@@ -126,6 +127,15 @@
     assertThat(second.received.poll(5, TimeUnit.SECONDS), equalTo(MESSAGE));
   }
 
+  /** Anything that connects could make the VM hold 16 MB for each connection. */
+  @Test
+  void largeFrameOfAnUnidentifiedSenderClosesItsLink() throws IOException {
+    try (Socket socket = connectToSecond()) {
+      socket.getOutputStream().write(ByteBuffer.allocate(4).putInt(100_000).array());
+      awaitClose(socket);
+    }
+  }
+
   @Test
   void oversizedFrameClosesTheLink() throws IOException {
     try (Socket socket = connectToSecond()) {
@@ -165,6 +175,8 @@
   }
 
   private static void awaitClose(Socket socket) throws IOException {
+    // JUnit's timeout does not end a read.
+    socket.setSoTimeout(READ_TIMEOUT_MILLIS);
     socket.getInputStream().readAllBytes();
   }
 
