Let a cut link of the tests accept nothing any more

Traced in its log: 3 ms after the cut, the VM that should have been cut off sent the warm-up request and the next one to the endpoint over a new connection through the link (tries "[i-1:ANSWERED:0]", no MS0056).

Cause: CuttableLink closed its server socket while a thread waited in accept. That thread, not yet scheduled, still got one connection and forwarded it, after the open ones had been reset. The product did what it should.

Change: a cut returns only when that thread has ended; then the connections are reset. The test and its expectations are unchanged.

--- a/entry/src/test/java/org/mustardstage/entry/gateway/CuttableLink.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/CuttableLink.java
@@ -62,6 +62,7 @@
   private final List<Socket> fillers = new ArrayList<>();
   private final Object hangLock = new Object();
   private ServerSocket server;
+  private Thread acceptor;
   private boolean hanging;
   private volatile Optional<Cut> resetting = Optional.empty();
 
@@ -79,7 +80,7 @@
 
   /** Cuts the link until {@link #restore}. */
   synchronized void cut(Cut how) throws IOException {
-    server.close();
+    stopListening();
     switch (how) {
       case HANG -> {
         synchronized (hangLock) {
@@ -113,7 +114,7 @@
 
   /** Ends a cut. What open connections held back arrives. */
   synchronized void restore() throws IOException {
-    server.close();
+    stopListening();
     for (Socket filler : fillers) {
       filler.close();
     }
@@ -130,7 +131,7 @@
   @Override
   public synchronized void close() throws IOException {
     restore();
-    server.close();
+    stopListening();
     resetAll();
   }
 
@@ -184,18 +185,32 @@
     }
   }
 
+  /**
+   * Returns when no more connections are accepted. A thread that waits in accept may still get one
+   * after its socket is closed, and would forward it through a cut.
+   */
+  private void stopListening() throws IOException {
+    server.close();
+    try {
+      acceptor.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void acceptFrom(ServerSocket from) {
-    Thread.ofVirtual()
-        .start(
-            () -> {
-              try {
-                while (true) {
-                  accept(from.accept());
-                }
-              } catch (IOException e) {
-                // Thrown when a cut closes the server socket.
-              }
-            });
+    acceptor =
+        Thread.ofVirtual()
+            .start(
+                () -> {
+                  try {
+                    while (true) {
+                      accept(from.accept());
+                    }
+                  } catch (IOException e) {
+                    // Thrown when a cut closes the server socket.
+                  }
+                });
   }
 
   private void accept(Socket near) throws IOException {
