--- a/entry/src/test/java/org/mustardstage/entry/gateway/EndlessBytesTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/EndlessBytesTest.java
@@ -64,12 +64,15 @@
       this.repeated = repeated;
     }
 
-    private void send(Socket socket) throws IOException {
-      FakeEndpoint.write(socket, start);
+    /** Returns a handler whose connections share their bytes, as the heap is measured. */
+    private FakeEndpoint.Handler handler() {
       byte[] bytes = repeated.getBytes(StandardCharsets.US_ASCII);
-      while (!socket.isClosed()) {
-        socket.getOutputStream().write(bytes);
-      }
+      return (request, socket) -> {
+        FakeEndpoint.write(socket, start);
+        while (!socket.isClosed()) {
+          socket.getOutputStream().write(bytes);
+        }
+      };
     }
   }
 
@@ -95,7 +98,7 @@
   @ParameterizedTest
   @EnumSource
   void ordinaryTrafficGoesOnBesideResponsesWithoutEnd(Endless endless) throws Exception {
-    checkTrafficBeside((request, socket) -> endless.send(socket));
+    checkTrafficBeside(endless.handler());
   }
 
   @Test
