Leave out what the response path and a start needn't do

Read once more as a newcomer: - CharMatcher.precomputed() tried all 65,536 characters for each of five character classes when the first response arrived; the classes are built without it, and bytes are compared directly (HttpSyntax.isText). - EndpointConnection made two parsers for each request and kept the second while it was idle. The parser belongs to the exchange, which has exactly one. - ResponseParser made two lists of header lines for a response; ResponseCheck copied each piece of a body only to drop it (dropBody). - The reason why the library's HTTP client is not used for endpoints was lost when the parser moved; it stands at EndpointConnection again.

--- a/core/src/main/java/org/mustardstage/core/http/HttpSyntax.java
+++ b/core/src/main/java/org/mustardstage/core/http/HttpSyntax.java
@@ -4,41 +4,35 @@
 
 /** Characters and tokens of RFC 9110, section 5.6, in text that was decoded as ISO 8859-1. */
 final class HttpSyntax {
-  private static final char HTAB = '\t';
   private static final char DEL = 0x7f;
   private static final char MAX_OCTET = 0xff;
 
   /** {@code DIGIT}. */
-  static final CharMatcher DIGIT = CharMatcher.inRange('0', '9').precomputed();
+  static final CharMatcher DIGIT = CharMatcher.inRange('0', '9');
 
   /** {@code HEXDIG}. */
   static final CharMatcher HEX_DIGIT =
-      DIGIT.or(CharMatcher.inRange('a', 'f')).or(CharMatcher.inRange('A', 'F')).precomputed();
+      DIGIT.or(CharMatcher.inRange('a', 'f')).or(CharMatcher.inRange('A', 'F'));
 
   /** {@code tchar}, of which names consist. */
   static final CharMatcher TOKEN =
       DIGIT
           .or(CharMatcher.inRange('a', 'z'))
           .or(CharMatcher.inRange('A', 'Z'))
-          .or(CharMatcher.anyOf("!#$%&'*+-.^_`|~"))
-          .precomputed();
+          .or(CharMatcher.anyOf("!#$%&'*+-.^_`|~"));
 
   /** {@code SP} and {@code HTAB}, of which {@code OWS} and {@code BWS} consist. */
-  static final CharMatcher BLANK = CharMatcher.anyOf(" \t").precomputed();
+  static final CharMatcher BLANK = CharMatcher.anyOf(" \t");
+
+  private HttpSyntax() {}
 
   /**
-   * {@code HTAB}, {@code SP}, {@code VCHAR} and {@code obs-text}, of which values and reason
-   * phrases consist. No line of a response holds any other character.
+   * Returns whether {@code c} is {@code HTAB}, {@code SP}, {@code VCHAR} or {@code obs-text}, of
+   * which values and reason phrases consist. No line of a response holds any other character.
    */
-  static final CharMatcher TEXT =
-      CharMatcher.is(HTAB)
-          .or(CharMatcher.inRange(' ', MAX_OCTET).and(CharMatcher.isNot(DEL)))
-          .precomputed();
-
-  /** {@code qdtext} and, after a backslash, the second character of a {@code quoted-pair}. */
-  private static final CharMatcher QUOTED = TEXT.and(CharMatcher.noneOf("\"\\"));
-
-  private HttpSyntax() {}
+  static boolean isText(char c) {
+    return c == '\t' || (c >= ' ' && c <= MAX_OCTET && c != DEL);
+  }
 
   static boolean isToken(String text) {
     return !text.isEmpty() && TOKEN.matchesAllOf(text);
@@ -72,14 +66,15 @@
     return true;
   }
 
-  /** Returns the index after the quoted string that begins at {@code start}, or -1. */
+  /**
+   * Returns the index after the quoted string that begins at {@code start}, or -1. Takes all
+   * characters to be {@link #isText}.
+   */
   private static int skipQuoted(String text, int start) {
     int at = start + 1;
     while (at < text.length() && text.charAt(at) != '"') {
       if (text.charAt(at) == '\\') {
         at++;
-      } else if (!QUOTED.matches(text.charAt(at))) {
-        return -1;
       }
       at++;
     }
--- a/core/src/main/java/org/mustardstage/core/http/ResponseHead.java
+++ b/core/src/main/java/org/mustardstage/core/http/ResponseHead.java
@@ -27,7 +27,10 @@
     return new ResponseHead(minorVersion, status, newHeaders);
   }
 
-  /** Parses a {@code status-line} of {@link HttpSyntax#TEXT}; the head has no headers. */
+  /**
+   * Parses a {@code status-line} of characters that are {@link HttpSyntax#isText}; the head has no
+   * headers.
+   */
   static ResponseHead parseStatusLine(String line) throws MalformedResponseException {
     boolean isComplete =
         line.startsWith(VERSION_PREFIX)
@@ -47,7 +50,10 @@
     return new ResponseHead(minorVersion - '0', status, new HeaderList(ImmutableList.of()));
   }
 
-  /** Parses a {@code field-line} of {@link HttpSyntax#TEXT}, of a head or a trailer section. */
+  /**
+   * Parses a {@code field-line} of characters that are {@link HttpSyntax#isText}, of a head or a
+   * trailer section.
+   */
   static HeaderList.Line parseField(String line) throws MalformedResponseException {
     int colon = line.indexOf(':');
     String name = colon < 0 ? line : line.substring(0, colon);
--- a/core/src/main/java/org/mustardstage/core/http/ResponseParser.java
+++ b/core/src/main/java/org/mustardstage/core/http/ResponseParser.java
@@ -1,9 +1,10 @@
 package org.mustardstage.core.http;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.math.LongMath;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -40,7 +41,7 @@
 
   private State state = State.STATUS_LINE;
   private Optional<ResponseHead> statusLine = Optional.empty();
-  private ImmutableList.Builder<HeaderList.Line> headerLines = ImmutableList.builder();
+  private final List<HeaderList.Line> headerLines = new ArrayList<>();
 
   /** The head of the response whose body is being read. */
   private Optional<ResponseHead> head = Optional.empty();
@@ -153,10 +154,15 @@
   /** Removes and returns what has arrived of the incomplete body. */
   public byte[] takeBody() {
     byte[] taken = Arrays.copyOf(body, bodyBytes);
-    bodyBytes = 0;
+    dropBody();
     return taken;
   }
 
+  /** Removes what has arrived of the incomplete body. */
+  public void dropBody() {
+    bodyBytes = 0;
+  }
+
   private Response finish() {
     Response response =
         new Response(
@@ -178,7 +184,7 @@
       return false;
     }
     statusLine = Optional.of(ResponseHead.parseStatusLine(line.get()));
-    headerLines = ImmutableList.builder();
+    headerLines.clear();
     state = State.HEADERS;
     return true;
   }
@@ -189,7 +195,7 @@
       return false;
     }
     if (line.get().isEmpty()) {
-      onHead(statusLine.orElseThrow().withHeaders(new HeaderList(headerLines.build())));
+      onHead(statusLine.orElseThrow().withHeaders(new HeaderList(headerLines)));
     } else {
       headerLines.add(parseField(line.get()));
     }
@@ -342,7 +348,7 @@
   }
 
   private static boolean isText(byte octet) {
-    return HttpSyntax.TEXT.matches((char) Byte.toUnsignedInt(octet));
+    return HttpSyntax.isText((char) Byte.toUnsignedInt(octet));
   }
 
   private String text(int from, int to) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
@@ -24,6 +24,9 @@
 /**
  * One connection to an endpoint, which carries one request at a time. Bytes that arrive while no
  * request is in flight close the connection; a response with the id of another request is skipped.
+ *
+ * <p>The HTTP client of the library can neither send the {@code Host} header that the caller sent
+ * nor tell a response from a second one that follows it, so it is not used here.
  */
 final class EndpointConnection {
   /**
@@ -42,7 +45,6 @@
   private final Runnable onClosed;
   private Optional<TcpSocket> socket = Optional.empty();
   private Optional<Exchange> exchange = Optional.empty();
-  private ResponseParser parser = new ResponseParser(LIMITS, /* withoutBody= */ false);
   private boolean closed;
   private boolean mustClose;
   private long lastResponseNanos = System.nanoTime();
@@ -54,6 +56,7 @@
   /** A request in flight on this connection. */
   private static final class Exchange {
     private final OutgoingRequest request;
+    private final ResponseParser parser;
     private final SettablePromise<Either<ConnectionFailure, EndpointResponse>> result =
         new SettablePromise<>();
     private final long idleNanos;
@@ -67,6 +70,7 @@
     /** {@code idleNanos} is how long the connection was idle before, 0 for a new connection. */
     Exchange(OutgoingRequest request, long idleNanos) {
       this.request = request;
+      this.parser = new ResponseParser(LIMITS, request.withoutResponseBody());
       this.idleNanos = idleNanos;
     }
 
@@ -144,7 +148,6 @@
   }
 
   private void write(Exchange current) {
-    parser = new ResponseParser(LIMITS, current.request.withoutResponseBody());
     socket
         .orElseThrow()
         .write(ByteBuf.wrapForReading(current.request.bytes()))
@@ -176,7 +179,7 @@
       return;
     }
     exchange.get().responseStarted = true;
-    parser.add(buf.array(), buf.head(), buf.readRemaining());
+    exchange.get().parser.add(buf.array(), buf.head(), buf.readRemaining());
     buf.recycle();
     try {
       consumeResponses();
@@ -184,9 +187,9 @@
       giveUpResponse(e.getMessage());
       return;
     }
-    if (exchange.isPresent()) {
-      responseBuffers.resize(this, parser.heldBytes()).ifPresent(EndpointConnection::dropResponse);
-    }
+    exchange
+        .flatMap(current -> responseBuffers.resize(this, current.parser.heldBytes()))
+        .ifPresent(EndpointConnection::dropResponse);
     readOn();
   }
 
@@ -203,8 +206,7 @@
 
   /** Gives up the response, as all incomplete responses together hold too much memory. */
   private void dropResponse() {
-    giveUpResponse(
-        "size of the response is " + parser.heldBytes() + " bytes, for which no room is left");
+    giveUpResponse("responses of all connections hold too much memory, and this one the most");
   }
 
   /** Closes the connection, as nothing tells what the next bytes on it would be. */
@@ -216,7 +218,7 @@
 
   private void consumeResponses() throws MalformedResponseException {
     while (exchange.isPresent()) {
-      Optional<EndpointResponse> response = parser.next().map(EndpointResponse::of);
+      Optional<EndpointResponse> response = exchange.get().parser.next().map(EndpointResponse::of);
       if (response.isEmpty()) {
         streamBody(exchange.get());
         return;
@@ -235,20 +237,22 @@
    */
   private void streamBody(Exchange current) {
     if (current.body.isEmpty()) {
-      Optional<EndpointResponse> head = parser.incomplete().map(EndpointResponse::withoutBody);
+      Optional<EndpointResponse> head =
+          current.parser.incomplete().map(EndpointResponse::withoutBody);
       if (current.request.transfer().isEmpty()
           || head.isEmpty()
           || !head.get().isSuccess()
           || !new ResponseIntegrity(headerNames, current.request.id()).isIntact(head.get())) {
         return;
       }
-      StreamedBody body = new StreamedBody(current.request.transfer().get(), parser.statedLength());
+      StreamedBody body =
+          new StreamedBody(current.request.transfer().get(), current.parser.statedLength());
       current.body = Optional.of(body);
       lastResponseNanos = System.nanoTime();
       current.result.trySet(Either.right(head.get().withStream(body)));
     }
     if (!closed) {
-      byte[] arrived = parser.takeBody();
+      byte[] arrived = current.parser.takeBody();
       current.body.get().add(arrived, 0, arrived.length);
     }
   }
@@ -263,10 +267,9 @@
     lastResponseNanos = System.nanoTime();
     recordKeepAlive(response);
     boolean reusable =
-        !mustClose && done.written && !parser.hasUnconsumedBytes() && !requestsClose(response);
+        !mustClose && done.written && !done.parser.hasUnconsumedBytes() && !requestsClose(response);
     exchange = Optional.empty();
     responseBuffers.remove(this);
-    parser = new ResponseParser(LIMITS, /* withoutBody= */ false);
     if (!reusable) {
       close();
     }
@@ -304,7 +307,7 @@
 
   private void onEndOfStream() {
     Optional<EndpointResponse> last =
-        exchange.isPresent() ? parser.atEndOfStream().map(EndpointResponse::of) : Optional.empty();
+        exchange.flatMap(current -> current.parser.atEndOfStream()).map(EndpointResponse::of);
     if (last.isPresent() && !isForOtherRequest(last.get())) {
       mustClose = true;
       finish(last.get());
--- a/entry/src/main/java/org/mustardstage/entry/http/ResponseCheck.java
+++ b/entry/src/main/java/org/mustardstage/entry/http/ResponseCheck.java
@@ -64,8 +64,8 @@
       if (current.next().isPresent()) {
         extraBytes = current.hasUnconsumedBytes();
         parser = Optional.empty();
-      } else if (current.incomplete().isPresent()) {
-        current.takeBody();
+      } else {
+        current.dropBody();
       }
     } catch (MalformedResponseException e) {
       parser = Optional.empty();
