Withhold the bytes that follow a response from the library's client

StoreClientTest.bytesAfterAResponseAreNotTakenForTheNextOne failed once: the call after a response with bytes behind it got those bytes as its response.

Cause: posted the close of such a connection. A call that was sent before the posted task ran still used the connection, and the client had the bytes.

Change: ResponseCheck cuts them off the buffer that the client gets; bytes that arrive without a request close the connection at once. A call in between fails and is repeated by its caller.

--- a/core/src/main/java/org/mustardstage/core/http/ResponseParser.java
+++ b/core/src/main/java/org/mustardstage/core/http/ResponseParser.java
@@ -110,6 +110,11 @@
     return state != State.STATUS_LINE || end > start;
   }
 
+  /** Returns how many bytes have arrived after those that were parsed. */
+  public int unparsedBytes() {
+    return end - start;
+  }
+
   /** Returns the next response once all its bytes have arrived. Skips interim (1xx) responses. */
   public Optional<Response> next() throws MalformedResponseException {
     boolean advanced = true;
--- a/entry/src/main/java/org/mustardstage/entry/http/ResponseCheck.java
+++ b/entry/src/main/java/org/mustardstage/entry/http/ResponseCheck.java
@@ -51,11 +51,14 @@
     return extraBytes;
   }
 
-  /** Checks bytes that were read; closes {@code socket} if they are no part of a response. */
+  /**
+   * Checks bytes that were read. Closes {@code socket} if they are no part of a response, and
+   * withholds those that follow one, as the client would take them for the next one.
+   */
   public void onRead(TcpSocket socket, ByteBuf buf) {
     if (parser.isEmpty()) {
-      // Without a request, the client closes the connection; with one, these bytes don't answer it.
       extraBytes = true;
+      socket.closeEx(new MalformedHttpException("bytes arrived without a request"));
       return;
     }
     ResponseParser current = parser.get();
@@ -63,6 +66,7 @@
     try {
       if (current.next().isPresent()) {
         extraBytes = current.hasUnconsumedBytes();
+        buf.moveTail(-current.unparsedBytes());
         parser = Optional.empty();
       } else {
         current.dropBody();
