--- /dev/null
+++ b/review/standins-2/Caller.java
@@ -0,0 +1,98 @@
+package org.mustardstage.review2;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A client that sends one request after the other to one entry VM, on a kept connection. */
+final class Caller {
+  /** One request; {@code status} is 0 if the connection ended without an answer. */
+  record Sent(String id, EntryVm vm, long sentNanos, long answeredNanos, int status, String body) {}
+
+  private final Recorder recorder;
+  private final EntryVm vm;
+  private final String host;
+  private final String path;
+  private final long pauseMillis;
+  private final List<Sent> sent = new ArrayList<>();
+  private final Thread thread;
+  private volatile boolean stopped;
+
+  Caller(Recorder recorder, EntryVm vm, String host, String path, long pauseMillis) {
+    this.recorder = recorder;
+    this.vm = vm;
+    this.host = host;
+    this.path = path;
+    this.pauseMillis = pauseMillis;
+    this.thread = Thread.ofVirtual().start(this::run);
+  }
+
+  private void run() {
+    int number = 0;
+    Socket socket = null;
+    InputStream in = null;
+    try {
+      while (!stopped) {
+        String id = vm.name + "-" + ++number;
+        long sentNanos = System.nanoTime();
+        int status = 0;
+        String body = "";
+        try {
+          if (socket == null) {
+            socket = new Socket("127.0.0.1", vm.callerPort);
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(3_000);
+            in = new BufferedInputStream(socket.getInputStream());
+          }
+          String request =
+              "GET " + path + number + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + id
+                  + "\r\nCookie: X-Affinity-Key="
+                  + number % 16
+                  + "\r\nX-Deadline-Ms: 2000\r\n\r\n";
+          sentNanos = System.nanoTime();
+          socket.getOutputStream().write(request.getBytes());
+          Http.Message response = Http.read(in);
+          if (response != null) {
+            status = response.status();
+            body = response.text();
+          }
+        } catch (IOException e) {
+          body = String.valueOf(e.getMessage());
+        }
+        long answeredNanos = System.nanoTime();
+        synchronized (sent) {
+          sent.add(new Sent(id, vm, sentNanos, answeredNanos, status, body));
+        }
+        recorder.addAt(sentNanos, "caller sends " + id + " to " + vm.name + ": " + path + number);
+        recorder.addAt(answeredNanos, "caller gets " + id + ": " + status + " " + body);
+        if (status == 0 && socket != null) {
+          socket.close();
+          socket = null;
+        }
+        Thread.sleep(pauseMillis);
+      }
+      if (socket != null) {
+        socket.close();
+      }
+    } catch (InterruptedException | IOException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  List<Sent> stop() throws InterruptedException {
+    stopped = true;
+    thread.join();
+    synchronized (sent) {
+      return new ArrayList<>(sent);
+    }
+  }
+
+  List<Sent> soFar() {
+    synchronized (sent) {
+      return new ArrayList<>(sent);
+    }
+  }
+}
--- /dev/null
+++ b/review/standins-2/Main.java
@@ -0,0 +1,371 @@
+package org.mustardstage.review2;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+/**
+ * Plays one case: three entry VMs of one zone with a store, targets and callers. Exits with 1 if
+ * the rule was broken, 0 if it held, 2 if the case couldn't run.
+ */
+public final class Main {
+  /** The bounds of the small sites, in seconds. */
+  private static final double CONTACT_S = 4;
+
+  private static final double CONFIG_APPLY_S = 2.5;
+  private static final double DRAIN_S = 2.5;
+
+  private static final String HOST = "shop.example";
+  private static final String ZONE = "regina-a";
+  private static final String REGION = "regina";
+
+  private final Recorder recorder = new Recorder();
+  private final boolean trouble;
+  private final Path work;
+  private final Store store = new Store();
+  private final List<EntryVm> vms = new ArrayList<>();
+  private final List<Target> targets = new ArrayList<>();
+  private final List<Caller> callers = new ArrayList<>();
+
+  private Main(boolean trouble, Path work) {
+    this.trouble = trouble;
+    this.work = work;
+  }
+
+  /** Thrown if the case couldn't run. */
+  private static final class CouldNotRun extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    CouldNotRun(String why) {
+      super(why);
+    }
+  }
+
+  /** Runs the case {@code args[0]}, which writes its record to the file {@code args[1]}. */
+  public static void main(String[] args) throws Exception {
+    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    Path work = Files.createTempDirectory("mustardstage-review");
+    Main main = new Main(trouble, work);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> main.vms.forEach(EntryVm::kill)));
+    int exit;
+    try {
+      exit =
+          switch (args[0]) {
+            case "silent-config" -> main.silentConfig();
+            case "silent-drain" -> main.silentDrain();
+            case "hangup-at-start" -> main.hangupAtStart();
+            default -> throw new CouldNotRun("there is no case " + args[0]);
+          };
+    } catch (CouldNotRun e) {
+      main.say("could not run: " + e.getMessage());
+      exit = 2;
+    } finally {
+      main.vms.forEach(EntryVm::kill);
+      main.recorder.write(Path.of(args[1]));
+    }
+    if (System.getenv("KEEP") == null) {
+      try (Stream<Path> files = Files.walk(work)) {
+        files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+      }
+    } else {
+      System.out.println("kept " + work);
+    }
+    System.exit(exit);
+  }
+
+  private void say(String line) {
+    recorder.add(line);
+    System.out.println(line);
+  }
+
+  private long nanosAfter(long nanos, double seconds) {
+    return nanos + (long) (seconds * 1e9);
+  }
+
+  private void sleepUntil(long nanos) throws InterruptedException {
+    long millis = (nanos - System.nanoTime()) / 1_000_000;
+    if (millis > 0) {
+      Thread.sleep(millis);
+    }
+  }
+
+  private void await(String what, double seconds, BooleanSupplier condition)
+      throws InterruptedException, CouldNotRun {
+    long endNanos = nanosAfter(System.nanoTime(), seconds);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - endNanos > 0) {
+        throw new CouldNotRun("in " + seconds + " s not seen: " + what);
+      }
+      Thread.sleep(5);
+    }
+  }
+
+  private long putConfig(int version, String service) {
+    Map<String, Object> limits = new TreeMap<>();
+    limits.put("header_bytes", 16384L);
+    limits.put("body_bytes", 67108864L);
+    limits.put("header_timeout_s", 3L);
+    limits.put("idle_timeout_s", 15L);
+    Map<String, Object> action =
+        Map.of("service", service, "timeout_s", 2L, "max_attempts", 2L, "home_regions", List.of());
+    Map<String, Object> rule = new TreeMap<>();
+    rule.put("name", "r-look");
+    rule.put("kind", "idempotent");
+    rule.put("aim_s", 0.3);
+    rule.put("priority", 0L);
+    rule.put("affinity", true);
+    rule.put("match", Map.of("prefix", "/look/"));
+    rule.put("action", action);
+    List<Object> clusters = new ArrayList<>();
+    for (String name : List.of("old-desk", "new-desk")) {
+      Map<String, Object> cluster = new TreeMap<>();
+      cluster.put("name", name);
+      cluster.put("health_path", "/health");
+      cluster.put("conn_limit", 720L);
+      cluster.put("protocol", "h1");
+      cluster.put("tls", false);
+      cluster.put("cold_s", 3.0);
+      cluster.put("cold_per_s", 17.0);
+      clusters.add(cluster);
+    }
+    Map<String, Object> config = new TreeMap<>();
+    config.put("version", "r" + version);
+    config.put("limits", limits);
+    config.put("listeners", List.of(Map.of("host", HOST, "rules", List.of(rule))));
+    config.put("clusters", clusters);
+    long acknowledged = store.put("op", "config", Json.write(config));
+    recorder.addAt(
+        acknowledged, "the store acknowledges configuration r" + version + ": /look/ to " + service);
+    return acknowledged;
+  }
+
+  /** Starts the deployment and its callers, and lets it run calmly for a while. */
+  private void startCalmly(int vmCount) throws IOException, InterruptedException, CouldNotRun {
+    putConfig(7, "old-desk");
+    for (String service : List.of("old-desk", "new-desk")) {
+      for (int i = 1; i <= 2; i++) {
+        targets.add(new Target(store, recorder, "i-" + service + i, service, ZONE, 9, 20));
+      }
+    }
+    for (int i = 1; i <= vmCount; i++) {
+      String name = "edge-" + i;
+      vms.add(new EntryVm(recorder, work, name, ZONE, REGION, store.open(name)));
+    }
+    for (EntryVm vm : vms) {
+      vm.start();
+    }
+    await("all VMs ready", 20, () -> vms.stream().allMatch(EntryVm::isReady));
+    await(
+        "all VMs know each other",
+        20,
+        () -> vms.stream().allMatch(vm -> vm.lookup(HOST, REGION, ZONE) == vmCount));
+    for (EntryVm vm : vms) {
+      callers.add(new Caller(recorder, vm, HOST, "/look/", 20));
+    }
+    Thread.sleep(10_000);
+    for (Caller caller : callers) {
+      List<Caller.Sent> sent = caller.soFar();
+      if (sent.size() < 100 || sent.stream().anyMatch(each -> each.status() != 200)) {
+        throw new CouldNotRun("the calm deployment did not serve all requests");
+      }
+    }
+  }
+
+  private List<Caller.Sent> stopCallers() throws InterruptedException {
+    List<Caller.Sent> all = new ArrayList<>();
+    for (Caller caller : callers) {
+      all.addAll(caller.stop());
+    }
+    return all;
+  }
+
+  /** Waits for a call that matches and is at most 100 ms old, and returns it. */
+  private Store.Call awaitCall(String what, Predicate<Store.Call> matches)
+      throws InterruptedException, CouldNotRun {
+    Store.Call[] found = new Store.Call[1];
+    await(
+        what,
+        20,
+        () -> {
+          List<Store.Call> calls = store.calls();
+          for (int i = calls.size() - 1; i >= Math.max(0, calls.size() - 50); i--) {
+            if (matches.test(calls.get(i))) {
+              found[0] = calls.get(i);
+              return true;
+            }
+          }
+          return false;
+        });
+    return found[0];
+  }
+
+  private static boolean isRecent(long nanos) {
+    return nanos != 0 && System.nanoTime() - nanos < 100_000_000L;
+  }
+
+  /** Marks the connection of a call as silent; returns since when it is. */
+  private long silence(Store.Call call) {
+    if (trouble) {
+      call.connection.silent = true;
+    }
+    long nanos = System.nanoTime();
+    say(
+        String.format(
+            "%.3f s: the open connection of %s to the store that carries its feed of table %s %s",
+            recorder.seconds(nanos),
+            call.connection.vm,
+            call.query.get("table"),
+            trouble ? "goes silent" : "stays as it is (TROUBLE=0)"));
+    return nanos;
+  }
+
+  /**
+   * CONFIG: the connection on which a VM waits for news of the configuration goes silent, and a
+   * route moves to another service. The VM is in touch again after contact_s.
+   */
+  private int silentConfig() throws IOException, InterruptedException, CouldNotRun {
+    startCalmly(3);
+    Store.Call call =
+        awaitCall(
+            "a VM that waits for changes of the table op",
+            each ->
+                each.isFeedOf("op")
+                    && each.waitMillis() > 0
+                    && each.answeredNanos == 0
+                    && isRecent(each.begunNanos));
+    long silentNanos = silence(call);
+    sleepUntil(nanosAfter(silentNanos, 0.3));
+    long acknowledgedNanos = putConfig(9, "new-desk");
+    sleepUntil(nanosAfter(silentNanos, CONTACT_S + 4));
+    List<Caller.Sent> all = stopCallers();
+    recordCalls(call.connection, silentNanos);
+    long inTouchNanos = nanosAfter(silentNanos, CONTACT_S);
+    long dueNanos = nanosAfter(acknowledgedNanos, CONFIG_APPLY_S);
+    long judgedNanos = Math.max(inTouchNanos, dueNanos);
+    int judged = 0;
+    int broken = 0;
+    double lastBroken = 0;
+    for (Caller.Sent each : all) {
+      if (each.sentNanos() - judgedNanos <= 0) {
+        continue;
+      }
+      judged++;
+      if (each.body().startsWith("old-desk")) {
+        broken++;
+        lastBroken = recorder.seconds(each.sentNanos());
+        recorder.addAt(
+            each.answeredNanos(),
+            "CONFIG is broken: " + each.id() + " was run by old-desk");
+      }
+    }
+    say(
+        String.format(
+            "r9 acknowledged at %.3f s; judged: %d requests sent after %.3f s, when all VMs were in"
+                + " touch and config_apply_s had passed; run by the old service: %d, the last sent"
+                + " at %.3f s",
+            recorder.seconds(acknowledgedNanos),
+            judged,
+            recorder.seconds(judgedNanos),
+            broken,
+            lastBroken));
+    return broken > 0 ? 1 : 0;
+  }
+
+  /**
+   * DRAIN: the connection on which a VM asks for changes of the targets goes silent, and a target
+   * leaves by the removal of its entry. The VM is in touch again after contact_s.
+   */
+  private int silentDrain() throws IOException, InterruptedException, CouldNotRun {
+    startCalmly(3);
+    Store.Call call =
+        awaitCall(
+            "a VM that has just got an answer about the table servers",
+            each ->
+                each.isFeedOf("servers") && each.waitMillis() > 0 && isRecent(each.answeredNanos));
+    long silentNanos = silence(call);
+    sleepUntil(nanosAfter(silentNanos, 1));
+    Target leaving = targets.getFirst();
+    long acknowledgedNanos = leaving.leave();
+    recorder.addAt(
+        acknowledgedNanos, "the store acknowledges that the entry of " + leaving.id + " is removed");
+    sleepUntil(nanosAfter(silentNanos, CONTACT_S + 4));
+    List<Caller.Sent> all = stopCallers();
+    long judgedNanos =
+        Math.max(nanosAfter(silentNanos, CONTACT_S), nanosAfter(acknowledgedNanos, DRAIN_S));
+    int broken = 0;
+    double lastBroken = 0;
+    recordCalls(call.connection, silentNanos);
+    for (Caller.Sent each : all) {
+      Long arrived = leaving.arrivalNanos.get(each.id());
+      if (arrived != null && each.sentNanos() - judgedNanos > 0) {
+        broken++;
+        lastBroken = Math.max(lastBroken, recorder.seconds(arrived));
+        recorder.addAt(arrived, "DRAIN is broken: " + each.id() + " reaches " + leaving.id);
+      }
+    }
+    say(
+        String.format(
+            "entry removed at %.3f s; judged from %.3f s, when all VMs were in touch and drain_s had"
+                + " passed; requests that reached the target that is gone: %d, the last at %.3f s",
+            recorder.seconds(acknowledgedNanos),
+            recorder.seconds(judgedNanos),
+            broken,
+            lastBroken));
+    return broken > 0 ? 1 : 0;
+  }
+
+  /** Records the calls of the VM of a silent connection from shortly before the silence on. */
+  private void recordCalls(Store.Connection silent, long silentNanos) {
+    for (Store.Call each : store.calls()) {
+      if (each.connection.vm.equals(silent.vm)
+          && each.begunNanos - nanosAfter(silentNanos, -5) > 0) {
+        recorder.addAt(
+            each.begunNanos,
+            "store is called by "
+                + each.connection.vm
+                + (each.connection == silent ? " on the silent connection" : "")
+                + ": "
+                + each.path
+                + " "
+                + each.query
+                + (each.answeredNanos == 0
+                    ? ", not answered"
+                    : String.format(
+                        ", answered at %.3f s", recorder.seconds(each.answeredNanos))));
+      }
+    }
+  }
+
+  /** Settings files change, which SIGHUP tells, while VMs start. */
+  private int hangupAtStart() throws IOException, InterruptedException, CouldNotRun {
+    startCalmly(2);
+    int ends = 0;
+    for (EntryVm vm : vms) {
+      for (int i = 0; i < 3; i++) {
+        vm.signal("KILL");
+        vm.awaitEnd(2_000);
+        Thread.sleep(500);
+        vm.start();
+        Thread.sleep(Long.getLong("hangup.millis", 150));
+        if (trouble) {
+          vm.signal("HUP");
+        }
+        if (vm.awaitEnd(3_000)) {
+          ends++;
+          say(vm.name + " ended by itself with exit code " + vm.exitCode());
+        }
+      }
+    }
+    say("ends of processes by themselves: " + ends);
+    stopCallers();
+    return ends > 0 ? 1 : 0;
+  }
+}
