--- a/review/standins-2/EntryVm.java
+++ b/review/standins-2/EntryVm.java
@@ -8,8 +8,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +20,8 @@
 
 /** An entry VM: a process of the project, started with the run line of the deploy file. */
 final class EntryVm {
+  private static final Set<Integer> TAKEN = new HashSet<>();
+
   final String name;
   final int callerPort;
   private final int readinessPort;
@@ -71,6 +75,9 @@
     int[] ports = new int[count];
     for (int i = 0; i < count; ) {
       int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+      if (!TAKEN.add(port)) {
+        continue;
+      }
       try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
         ports[i++] = free.getLocalPort();
       } catch (BindException e) {
--- a/review/standins-2/Main.java
+++ b/review/standins-2/Main.java
@@ -189,6 +189,7 @@
     createDeployment(vmCount);
     for (EntryVm vm : vms) {
       vm.start();
+      Thread.sleep(100);
     }
     await("all VMs ready", 20, () -> vms.stream().allMatch(EntryVm::isReady));
     await(
