--- a/review/standins-2/Caller.java
+++ b/review/standins-2/Caller.java
@@ -11,8 +11,16 @@
 /** A client that sends one request after the other to one entry VM, on a kept connection. */
 final class Caller {
   /** One request; {@code status} is 0 if the connection ended without an answer. */
-  record Sent(String id, EntryVm vm, long sentNanos, long answeredNanos, int status, String body) {}
+  record Sent(
+      String id,
+      EntryVm vm,
+      String path,
+      long sentNanos,
+      long answeredNanos,
+      int status,
+      String body) {}
 
+  private static final long DEADLINE_MILLIS = 2_000;
   private static final AtomicInteger CALLERS = new AtomicInteger();
 
   private final Recorder recorder;
@@ -47,6 +55,7 @@
         long sentNanos = System.nanoTime();
         int status = 0;
         String body = "";
+        double retryAfterSeconds = 0;
         try {
           if (socket == null) {
             socket = new Socket("127.0.0.1", vm.callerPort);
@@ -58,7 +67,9 @@
               method + " " + path + number + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + id
                   + "\r\nCookie: X-Affinity-Key="
                   + number % 64
-                  + "\r\nX-Deadline-Ms: 2000\r\n"
+                  + "\r\nX-Deadline-Ms: "
+                  + DEADLINE_MILLIS
+                  + "\r\n"
                   + (method.equals("POST") ? "Content-Length: 4\r\n\r\nbody" : "\r\n");
           sentNanos = System.nanoTime();
           socket.getOutputStream().write(request.getBytes());
@@ -66,13 +77,17 @@
           if (response != null) {
             status = response.status();
             body = response.text();
+            retryAfterSeconds =
+                response.header("Retry-After").isEmpty()
+                    ? 0
+                    : Double.parseDouble(response.header("Retry-After"));
           }
         } catch (IOException e) {
           body = String.valueOf(e.getMessage());
         }
         long answeredNanos = System.nanoTime();
         synchronized (sent) {
-          sent.add(new Sent(id, vm, sentNanos, answeredNanos, status, body));
+          sent.add(new Sent(id, vm, path, sentNanos, answeredNanos, status, body));
         }
         recorder.addAt(sentNanos, "caller sends " + id + " to " + vm.name + ": " + path + number);
         recorder.addAt(answeredNanos, "caller gets " + id + ": " + status + " " + body);
@@ -80,7 +95,8 @@
           socket.close();
           socket = null;
         }
-        Thread.sleep(pauseMillis);
+        // Callers honour Retry-After up to a third of the time that they have.
+        Thread.sleep(pauseMillis + (long) Math.min(DEADLINE_MILLIS / 3, 1_000 * retryAfterSeconds));
       }
       if (socket != null) {
         socket.close();
--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -124,7 +124,12 @@
 
   /** Listens on a free port of the loopback address; each connection has a thread of its own. */
   static ServerSocket listen(ConnectionHandler handler) throws IOException {
-    ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+    return listen(0, handler);
+  }
+
+  /** Listens on a port of the loopback address; 0 for a free one. */
+  static ServerSocket listen(int port, ConnectionHandler handler) throws IOException {
+    ServerSocket server = new ServerSocket(port, 200, InetAddress.getByName("127.0.0.1"));
     Thread.ofVirtual()
         .start(
             () -> {
--- a/review/standins-2/Main.java
+++ b/review/standins-2/Main.java
@@ -38,6 +38,10 @@
 
   private static final int ENDS_OF_A_FAULT = 3;
 
+  private static final int FLAPS = 12;
+  private static final long[] DOWN_MILLIS = {700, 230, 720};
+  private static final long UP_MILLIS = 2_400;
+
   private static final String HOST = "shop.example";
   private static final String ZONE = "regina-a";
   private static final String REGION = "regina";
@@ -56,6 +60,9 @@
   /** How long a target works on a request. */
   private long workMillis = 20;
 
+  /** How long a target of the service new-desk works. */
+  private long bookMillis = 20;
+
   private Main(boolean trouble, Path work) {
     this.trouble = trouble;
     this.work = work;
@@ -83,6 +90,7 @@
             case "silent-config" -> main.silentConfig();
             case "silent-drain" -> main.silentDrain();
             case "cold-again" -> main.coldAgain();
+            case "same-id" -> main.sameId();
             case "hangup-at-start" -> main.hangupAtStart();
             default -> throw new CouldNotRun("there is no case " + args[0]);
           };
@@ -130,22 +138,30 @@
     }
   }
 
+  private static Map<String, Object> rule(String name, String kind, String prefix, String service) {
+    Map<String, Object> rule = new TreeMap<>();
+    rule.put("name", name);
+    rule.put("kind", kind);
+    rule.put("aim_s", 0.5);
+    rule.put("priority", 0L);
+    rule.put("affinity", true);
+    rule.put("match", Map.of("prefix", prefix));
+    rule.put(
+        "action",
+        Map.of("service", service, "timeout_s", 2L, "max_attempts", 2L, "home_regions", List.of()));
+    return rule;
+  }
+
   private long putConfig(int version, String service) {
     Map<String, Object> limits = new TreeMap<>();
     limits.put("header_bytes", 16384L);
     limits.put("body_bytes", 67108864L);
     limits.put("header_timeout_s", 3L);
     limits.put("idle_timeout_s", 15L);
-    Map<String, Object> action =
-        Map.of("service", service, "timeout_s", 2L, "max_attempts", 2L, "home_regions", List.of());
-    Map<String, Object> rule = new TreeMap<>();
-    rule.put("name", "r-look");
-    rule.put("kind", method.equals("GET") ? "idempotent" : "non_idempotent");
-    rule.put("aim_s", 0.3);
-    rule.put("priority", 0L);
-    rule.put("affinity", true);
-    rule.put("match", Map.of("prefix", "/look/"));
-    rule.put("action", action);
+    String kind = method.equals("GET") ? "idempotent" : "non_idempotent";
+    List<Object> rules = new ArrayList<>();
+    rules.add(rule("r-look", kind, "/look/", service));
+    rules.add(rule("r-book", kind, "/book/", "new-desk"));
     List<Object> clusters = new ArrayList<>();
     for (String name : List.of("old-desk", "new-desk")) {
       Map<String, Object> cluster = new TreeMap<>();
@@ -161,7 +177,7 @@
     Map<String, Object> config = new TreeMap<>();
     config.put("version", "r" + version);
     config.put("limits", limits);
-    config.put("listeners", List.of(Map.of("host", HOST, "rules", List.of(rule))));
+    config.put("listeners", List.of(Map.of("host", HOST, "rules", rules)));
     config.put("clusters", clusters);
     long acknowledged = store.put("op", "config", Json.write(config));
     recorder.addAt(
@@ -174,7 +190,7 @@
     putConfig(7, "old-desk");
     for (String service : List.of("old-desk", "new-desk")) {
       for (int i = 1; i <= 2; i++) {
-        targets.add(new Target(store, recorder, "i-" + service + i, service, ZONE, 9, workMillis, 0));
+        targets.add(new Target(store, recorder, "i-" + service + i, service, ZONE, 9, service.equals("new-desk") ? bookMillis : workMillis, 0));
       }
     }
     for (int i = 1; i <= vmCount; i++) {
@@ -411,6 +427,61 @@
     return most > bound ? 1 : 0;
   }
 
+  /**
+   * Starved: the targets of one service go down and up a few times, and start again under the ids
+   * that they had. Then all is calm.
+   */
+  private int sameId() throws IOException, InterruptedException, CouldNotRun {
+    bookMillis = 600;
+    startCalmly(2, 3);
+    for (EntryVm vm : vms) {
+      for (int i = 0; i < 4; i++) {
+        callers.add(new Caller(recorder, vm, HOST, method, "/book/", 20));
+      }
+    }
+    Thread.sleep(3_000);
+    List<Target> flapping = targets.stream().filter(t -> t.service.equals("new-desk")).toList();
+    for (int i = 0; i < FLAPS; i++) {
+      if (trouble) {
+        for (Target target : flapping) {
+          target.crash("goes down, " + (i + 1) + " of " + FLAPS);
+        }
+      }
+      Thread.sleep(DOWN_MILLIS[i % DOWN_MILLIS.length]);
+      if (trouble) {
+        for (Target target : flapping) {
+          target.startAgain(COLD_S);
+        }
+      }
+      Thread.sleep(UP_MILLIS);
+    }
+    long calmNanos = System.nanoTime();
+    say(String.format("%.3f s: all targets are up for good", recorder.seconds(calmNanos)));
+    sleepUntil(nanosAfter(calmNanos, 42));
+    Map<String, long[]> counts = new TreeMap<>();
+    for (Caller.Sent each : stopCallers()) {
+      long[] count = counts.computeIfAbsent(each.path(), path -> new long[4]);
+      count[0]++;
+      count[1] += each.status() == 200 ? 1 : 0;
+      if (each.sentNanos() - nanosAfter(calmNanos, 10) > 0) {
+        count[2]++;
+        count[3] += each.status() == 200 ? 1 : 0;
+      }
+    }
+    counts.forEach(
+        (path, c) ->
+            say(
+                String.format(
+                    "%s: served %d of %d, and %d of %d that were sent 10 s after the last start or later",
+                    path, c[1], c[0], c[3], c[2])));
+    long[] book = counts.get("/book/");
+    long[] look = counts.get("/look/");
+    double share = (double) book[1] / book[0];
+    double all = (double) (book[1] + look[1]) / (book[0] + look[0]);
+    say(String.format("served: /book/ %.3f, all requests %.3f, a quarter of it %.3f", share, all, all / 4));
+    return share < all / 4 ? 1 : 0;
+  }
+
   /**
    * Fault: settings files change while VMs start, which SIGHUP tells. A process that ends by itself
    * is started again after a short delay, as the platform does.
--- a/review/standins-2/Target.java
+++ b/review/standins-2/Target.java
@@ -25,8 +25,9 @@
   private final String zone;
   private final int slots;
   private final long workMillis;
-  private final ServerSocket server;
-  private final long bornMillis = System.currentTimeMillis();
+  private final int port;
+  private volatile ServerSocket server;
+  private volatile long bornMillis = System.currentTimeMillis();
   private final List<Socket> sockets = new ArrayList<>();
   private int mostInOneSecond;
   private final AtomicInteger running = new AtomicInteger();
@@ -57,6 +58,7 @@
     this.workMillis = workMillis;
     this.coldUntilNanos = System.nanoTime() + (long) (coldSeconds * 1e9);
     this.server = Http.listen(this::serve);
+    this.port = server.getLocalPort();
     beat();
     Thread.ofVirtual().start(this::beatOn);
   }
@@ -107,10 +109,10 @@
   }
 
   /** Ends at once: its connections are reset and nothing more is answered. */
-  private void crash() {
+  void crash(String why) {
     crashed = true;
     beats = false;
-    recorder.add("target " + id + " crashes: more requests than it tolerates while it is cold");
+    recorder.add("target " + id + " crashes: " + why);
     try {
       server.close();
     } catch (IOException e) {
@@ -128,6 +130,24 @@
     }
   }
 
+  /** Starts again after a crash, at its address and under its id, cold for a while. */
+  void startAgain(double coldSeconds) throws IOException {
+    synchronized (sockets) {
+      sockets.clear();
+    }
+    running.set(0);
+    bornMillis = System.currentTimeMillis();
+    coldUntilNanos = System.nanoTime() + (long) (coldSeconds * 1e9);
+    server = Http.listen(port, this::serve);
+    crashed = false;
+    beats = true;
+    synchronized (this) {
+      sequence = 0;
+      beat();
+    }
+    recorder.add("target " + id + " starts again, born " + bornMillis);
+  }
+
   /** Writes the entry BEAT_MILLIS after it was written last. */
   private void beatOn() {
     try {
@@ -201,7 +221,7 @@
     recorder.addAt(
         arrived, "target " + id + " (" + service + ") runs " + requestId + " " + request.path());
     if (inOneSecond > crashRequestsPerSecond) {
-      crash();
+      crash("more requests than it tolerates while it is cold");
     }
     running.incrementAndGet();
     Thread.sleep(workMillis);
