--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -10,7 +10,7 @@
   exit 2
 fi
 timeout 115 "$java_home/bin/java" -Xmx400m -cp target/review-2 org.mustardstage.review2.Main \
-  silent-config review/7/record.txt
+  cold-again review/7/record.txt
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
