Decide queued requests one after another, and end one request by an error

Cause: a released slot had the queue decided at once, and each decision was told by calling its request. With the quota used up, a placed request got no permit and released its slot, which placed the next one inside it: onDecision, AttemptPermit.acquire, release, processQueue, deliver. The stack grew with the queue until a StackOverflowError, which ended the request on the outside, whose response had just arrived.

Change: Dispatcher and QuotaGate tell each decision in a task of its own, a release has the queue processed in a task, and a newcomer waits for that. Bodies and responses dropped for room, and the end of a cut, are tasks too. RequestExecution catches what is thrown in its own handling: the response that has arrived is forwarded, otherwise 502 INTERNAL_ERROR if it may have been sent, 503 if not; slots and permits are released.

Tried first: catching the error in Dispatcher.deliver only. The stack still grew with the queue, and the callers inside it lost theirs.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -8,10 +8,12 @@
 import io.activej.eventloop.Eventloop;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.mustardstage.core.gateway.GatewayConfig;
@@ -42,6 +44,10 @@
  * Places requests by the schedulers of all services on this VM. Used on the traffic thread only, so
  * that a request is placed without a change of threads; the control thread passes in the
  * configuration, the endpoints and the members.
+ *
+ * <p>A request that is queued is placed or rejected in a task of its own, never while another
+ * request releases its slot. The releases of many requests would otherwise nest, and an error in
+ * one request would end those that it was called from.
  */
 final class Dispatcher implements Placer {
   /** How often queued requests are reconsidered while no slot is released. */
@@ -59,6 +65,13 @@
   private final Map<ServiceName, ServiceScheduler> schedulers = new HashMap<>();
   private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
   private final Map<Long, Pending> pending = new HashMap<>();
+
+  /** The services whose queues a task is going to process. */
+  private final Set<ServiceName> dueServices = new HashSet<>();
+
+  /** The new requests that wait until the queue of their service has been processed. */
+  private final Set<Long> newcomers = new HashSet<>();
+
   private final EndpointLimits endpointLimits;
   private final ServiceHedges hedges;
   private volatile ImmutableSet<EndpointLimit> limitsInForce = ImmutableSet.of();
@@ -208,7 +221,18 @@
   @Override
   public PendingPlacement place(PlacementRequest request, Consumer<PlacementDecision> onDecision) {
     long id = nextRequestId++;
-    decide(id, request, onDecision);
+    if (dueServices.contains(request.service())) {
+      // A slot that was released just now is for the requests that are queued.
+      newcomers.add(id);
+      eventloop.postLast(
+          () -> {
+            if (newcomers.remove(id)) {
+              decide(id, request, onDecision);
+            }
+          });
+    } else {
+      decide(id, request, onDecision);
+    }
     return () -> cancel(id);
   }
 
@@ -291,9 +315,11 @@
   }
 
   private void cancel(long requestId) {
+    newcomers.remove(requestId);
     Pending cancelled = pending.remove(requestId);
-    if (cancelled != null) {
-      schedulers.get(cancelled.service()).cancel(cancelled.request());
+    ServiceScheduler scheduler = cancelled == null ? null : schedulers.get(cancelled.service());
+    if (scheduler != null) {
+      scheduler.cancel(cancelled.request());
     }
   }
 
@@ -320,7 +346,17 @@
     }
     if (scheduler != null) {
       scheduler.release(clock.getAsLong(), placed, result);
-      processQueue(scheduler);
+      processQueueLater(service, scheduler);
+    }
+  }
+
+  private void processQueueLater(ServiceName service, ServiceScheduler scheduler) {
+    if (scheduler.queueLength() > 0 && dueServices.add(service)) {
+      eventloop.postLast(
+          () -> {
+            dueServices.remove(service);
+            Optional.ofNullable(schedulers.get(service)).ifPresent(this::processQueue);
+          });
     }
   }
 
@@ -378,12 +414,23 @@
     deliver(scheduler.processQueue(clock.getAsLong()));
   }
 
+  /** Delivers each decision in a task of its own, so that an error in one loses no other. */
   private void deliver(List<PlacementDecision> decisions) {
     for (PlacementDecision decision : decisions) {
-      Pending decided = pending.remove(decision.request().id());
+      Pending decided = pending.get(decision.request().id());
       if (decided != null) {
-        decided.onDecision().accept(decision);
+        eventloop.postLast(() -> deliver(decided, decision));
       }
     }
   }
+
+  private void deliver(Pending decided, PlacementDecision decision) {
+    boolean isWanted = pending.remove(decision.request().id()) != null;
+    if (isWanted) {
+      decided.onDecision().accept(decision);
+    } else if (decision instanceof PlacementDecision.Placed placed) {
+      // The request was cancelled after it was placed.
+      release(decided.service(), placed, AttemptResult.abandoned());
+    }
+  }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
@@ -189,7 +189,7 @@
     }
     exchange
         .flatMap(current -> responseBuffers.resize(this, current.parser.heldBytes()))
-        .ifPresent(EndpointConnection::dropResponse);
+        .ifPresent(this::dropLargest);
     readOn();
   }
 
@@ -204,7 +204,22 @@
     }
   }
 
-  /** Gives up the response, as all incomplete responses together hold too much memory. */
+  /** Gives up the largest response, as all incomplete ones together hold too much memory. */
+  private void dropLargest(EndpointConnection largest) {
+    if (largest == this) {
+      dropResponse();
+      return;
+    }
+    // The other request ends in a task of its own, unless its response is complete by then.
+    Optional<Exchange> dropped = largest.exchange;
+    reactor.postLast(
+        () -> {
+          if (dropped.isPresent() && largest.exchange.equals(dropped)) {
+            largest.dropResponse();
+          }
+        });
+  }
+
   private void dropResponse() {
     giveUpResponse("responses of all connections hold too much memory, and this one the most");
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
@@ -236,9 +236,19 @@
     }
   }
 
-  /** Tells the listeners later, as the change may come from one that is in between two states. */
+  /**
+   * Tells the listeners later, as the change may come from one that is in between two states, and
+   * each in a task of its own, as the others must hear of it whatever one of them does.
+   */
   private void tellListeners(Consumer<Listener> event) {
-    reactor.post(() -> ImmutableList.copyOf(listeners).forEach(event));
+    for (Listener listener : ImmutableList.copyOf(listeners)) {
+      reactor.postLast(
+          () -> {
+            if (listeners.contains(listener)) {
+              event.accept(listener);
+            }
+          });
+    }
   }
 
   private static long elapsedMillis(long sinceNanos) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -143,7 +143,7 @@
             () -> rejectsNewRequests,
             () -> stopSchedule,
             () -> keyCheck.getAsBoolean(),
-            new RequestBodyReader((long) (REQUEST_BODIES_HEAP_SHARE * heapBytes)),
+            new RequestBodyReader(eventloop, (long) (REQUEST_BODIES_HEAP_SHARE * heapBytes)),
             metrics);
     this.callerServer =
         HttpServer.builder(eventloop, servlet)
--- a/entry/src/main/java/org/mustardstage/entry/gateway/NotRunReasons.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/NotRunReasons.java
@@ -39,6 +39,9 @@
   /** Every endpoint that the request was sent to refused it. */
   static final String REFUSED_BY_ENDPOINT = "REFUSED_BY_ENDPOINT";
 
+  /** An error in this VM ended the request before it was sent. */
+  static final String INTERNAL_ERROR = "INTERNAL_ERROR";
+
   /** The deadline passed before the request was sent. */
   static final String DEADLINE = "DEADLINE";
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/QuotaGate.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/QuotaGate.java
@@ -27,6 +27,9 @@
  * Gives the attempts of tenants' requests their permits. Used on the traffic thread only, so that
  * an attempt for which this VM holds a permit is sent without a change of threads. Does nothing
  * while no tenant has a quota.
+ *
+ * <p>An attempt that waits for a permit is told the decision in a task of its own, never while
+ * another request acquires or gives back one.
  */
 final class QuotaGate {
   private static final long TICK_MILLIS = 50;
@@ -147,14 +150,7 @@
     for (QuotaAction action : actions) {
       switch (action) {
         case QuotaAction.Send send -> messages.add(send);
-        case QuotaAction.Decide decide -> {
-          Consumer<QuotaDecision> onDecision = waiting.remove(decide.requestId());
-          if (onDecision != null) {
-            onDecision.accept(decide.decision());
-          } else if (decide.decision() instanceof QuotaDecision.Granted granted) {
-            quotas.putBack(clock.getAsLong(), granted.permit());
-          }
-        }
+        case QuotaAction.Decide decide -> eventloop.postLast(() -> deliver(decide));
       }
     }
     ImmutableList<QuotaAction.Send> toSend = messages.build();
@@ -163,6 +159,15 @@
     }
   }
 
+  private void deliver(QuotaAction.Decide decide) {
+    Consumer<QuotaDecision> onDecision = waiting.remove(decide.requestId());
+    if (onDecision != null) {
+      onDecision.accept(decide.decision());
+    } else if (decide.decision() instanceof QuotaDecision.Granted granted) {
+      putBack(granted.permit());
+    }
+  }
+
   private void startTicking() {
     if (!ticking && quotas.isActive()) {
       ticking = true;
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
@@ -22,6 +22,7 @@
   private final List<String> trace;
   private final long startedNanos = System.nanoTime();
   private final List<ScheduledRunnable> timers = new ArrayList<>();
+  private boolean finished;
   private boolean hedged;
   private boolean inTail;
   private OptionalLong respondedNanos = OptionalLong.empty();
@@ -106,6 +107,14 @@
     finish(hedged ? Status.SILENT : status, EndpointReport.NONE);
   }
 
+  /** Closes the connection and ends the attempt, unless it has ended, as its handling failed. */
+  void cancelAfterFault() {
+    connection.close();
+    if (!finished) {
+      finish(Status.ABANDONED);
+    }
+  }
+
   /** Ends the attempt without a response. */
   void finish(Status status) {
     finish(status, EndpointReport.NONE);
@@ -113,6 +122,7 @@
 
   /** Ends the attempt. */
   void finish(Status status, EndpointReport report) {
+    finished = true;
     timers.forEach(ScheduledRunnable::cancel);
     long elapsedNanos = respondedNanos.orElseGet(System::nanoTime) - startedNanos;
     Optional<Long> connectNanos =
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestBodyReader.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestBodyReader.java
@@ -5,6 +5,7 @@
 import io.activej.http.HttpRequest;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import io.activej.reactor.Reactor;
 import io.vavr.control.Either;
 import java.io.IOException;
 import org.mustardstage.core.overload.BufferBudget;
@@ -19,10 +20,12 @@
   /** What is read and thrown away after a failure, so that the caller can read the response. */
   private static final long MAX_SKIPPED_BYTES = 8 << 20;
 
+  private final Reactor reactor;
   private final BufferBudget<Body> budget;
 
   /** Creates a reader of bodies that hold at most {@code capacityBytes} together. */
-  RequestBodyReader(long capacityBytes) {
+  RequestBodyReader(Reactor reactor, long capacityBytes) {
+    this.reactor = reactor;
     this.budget = new BufferBudget<>(capacityBytes);
   }
 
@@ -63,7 +66,22 @@
         fail(Failure.TOO_LARGE);
         return;
       }
-      budget.resize(this, receivedBytes).ifPresent(largest -> largest.fail(Failure.BUFFERS_FULL));
+      budget.resize(this, receivedBytes).ifPresent(this::dropLargest);
+    }
+
+    private void dropLargest(Body largest) {
+      if (largest == this) {
+        fail(Failure.BUFFERS_FULL);
+      } else {
+        // The other request ends in a task of its own.
+        reactor.postLast(largest::dropUnlessEnded);
+      }
+    }
+
+    private void dropUnlessEnded() {
+      if (!result.isComplete()) {
+        fail(Failure.BUFFERS_FULL);
+      }
     }
 
     private void skip(int size) throws IOException {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -26,12 +26,17 @@
 import org.mustardstage.core.placement.RequestFingerprint;
 import org.mustardstage.core.tenant.Tenant;
 import org.mustardstage.core.transfer.TransferBudget;
+import org.mustardstage.entry.log.Event;
+import org.mustardstage.entry.log.EventLog;
 
 /**
  * Executes one request of a caller: requests a placement, sends the request to the chosen endpoint,
  * and retries or hedges it as far as its idempotence and its rule allow. While this VM is cut off
  * from the endpoints, relays it to another VM instead. The outcome is the response of an endpoint,
  * or a failure that states whether the request may have run.
+ *
+ * <p>An error ends the request in which it is thrown, with the response that has arrived if there
+ * is one, and does not reach the code that called the request.
  */
 final class RequestExecution implements EndpointLinkMonitor.Listener {
   /**
@@ -94,8 +99,14 @@
   private boolean relaying;
   private boolean mayHaveRun;
 
-  /** A server error from an endpoint, forwarded if no other endpoint responds with a success. */
-  private Optional<RequestOutcome.Responded> failedResponse = Optional.empty();
+  /** Whether an attempt is being sent, which is not in flight yet. */
+  private boolean sending;
+
+  /**
+   * The last response of an endpoint. A server error is forwarded if no other endpoint responds
+   * with a success.
+   */
+  private Optional<RequestOutcome.Responded> arrivedResponse = Optional.empty();
 
   RequestExecution(
       GatewayServices services,
@@ -115,7 +126,11 @@
         Suppliers.memoize(
             () ->
                 new RequestRelay(
-                    services.relayNetwork(), request, configVersion, trace, this::onRelayResult));
+                    services.relayNetwork(),
+                    request,
+                    configVersion,
+                    trace,
+                    result -> runStep(() -> onRelayResult(result))));
     this.attemptBudget = new AttemptBudget(request);
     this.permit = new AttemptPermit(services.quotas(), request.tenant().map(Tenant::name));
   }
@@ -123,12 +138,33 @@
   /** Starts the execution. The returned promise never fails. */
   Promise<RequestOutcome> start() {
     long remainingMillis = remainingMillis();
-    timeout = Optional.of(reactor.delay(Math.max(1, remainingMillis), this::onTimeout));
+    timeout =
+        Optional.of(reactor.delay(Math.max(1, remainingMillis), () -> runStep(this::onTimeout)));
     linkMonitor.addListener(this);
-    requestPlacement();
+    runStep(this::requestPlacement);
     return outcome;
   }
 
+  /** Runs a step of this request, which an error in it ends. */
+  private void runStep(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      onFault(e);
+    }
+  }
+
+  private void onFault(Throwable fault) {
+    EventLog.log(Event.TRAFFIC_FAULT, fault, "request", request.id());
+    boolean sent = mayHaveRun || sending || isInFlight();
+    finish(
+        sent
+            ? new RequestOutcome.Unknown(RequestOutcome.Unknown.Cause.INTERNAL_ERROR)
+            : new RequestOutcome.NotRun(
+                NotRunReasons.INTERNAL_ERROR, request.rule().latencyObjectiveMillis()));
+    cancelAttempts();
+  }
+
   /** Returns the attempts and rejections so far, in order, for the request log. */
   List<String> trace() {
     return trace;
@@ -181,7 +217,10 @@
 
   /** Requests an endpoint, if the quota of the tenant allows another attempt now. */
   private void placeLocally() {
-    permit.acquire(this::placeWithPermit, this::onNoPermit, () -> {});
+    permit.acquire(
+        () -> runStep(this::placeWithPermit),
+        refusal -> runStep(() -> onNoPermit(refusal)),
+        () -> {});
   }
 
   private void onNoPermit(RequestOutcome.NotRun refusal) {
@@ -200,7 +239,7 @@
                 placementRequest(),
                 decision -> {
                   decidedSynchronously[0] = true;
-                  onDecision(decision);
+                  runStep(() -> onDecision(decision));
                 });
     if (!decidedSynchronously[0]) {
       pendingPlacement = Optional.of(pending);
@@ -282,18 +321,22 @@
 
   private void onRelayedResponse(EndpointResponse response) {
     RequestOutcome.Responded responded = new RequestOutcome.Responded(response);
+    arrivedResponse = Optional.of(responded);
     if (response.status() >= MIN_SERVER_ERROR_STATUS && !attemptsInFlight.isEmpty()) {
       mayHaveRun = true;
-      failedResponse = Optional.of(responded);
       return;
     }
     cancelAttempts();
     finish(responded);
   }
 
-  /** Relays what waits for an endpoint, as none is reached any more. */
   @Override
   public void onCutOff() {
+    runStep(this::relayUnsent);
+  }
+
+  /** Relays what waits for an endpoint, as none is reached any more. */
+  private void relayUnsent() {
     if (outcome.isComplete() || relaying) {
       return;
     }
@@ -357,11 +400,13 @@
           return;
         }
         permit.acquire(
-            () -> send(placed),
-            refusal -> {
-              release(placed);
-              onNoPermit(refusal);
-            },
+            () -> runStep(() -> send(placed)),
+            refusal ->
+                runStep(
+                    () -> {
+                      release(placed);
+                      onNoPermit(refusal);
+                    }),
             () -> release(placed));
       }
       case PlacementDecision.Rejected rejected -> {
@@ -383,14 +428,16 @@
   }
 
   private void send(PlacementDecision.Placed placed) {
-    RegisteredEndpoint endpoint = placed.endpoint();
-    long remainingMillis = remainingMillis() - RESPONSE_TRANSFER_MARGIN_MILLIS;
-    byte[] bytes =
-        RequestEncoder.encode(
-            request, endpoint, services.headerNames(), Math.max(1, remainingMillis));
-    triedEndpoints.add(endpoint.id());
-    Optional<EndpointConnectionPool.Sent> sent =
-        connections.send(endpoint.address(), request, transfer, bytes);
+    triedEndpoints.add(placed.endpoint().id());
+    Optional<EndpointConnectionPool.Sent> sent;
+    sending = true;
+    try {
+      sent = sendTo(placed.endpoint());
+    } catch (RuntimeException | Error e) {
+      release(placed);
+      throw e;
+    }
+    sending = false;
     if (sent.isEmpty()) {
       release(placed);
       permit.putBack();
@@ -410,7 +457,15 @@
     scheduleHedge(current);
     scheduleTailHedge(current);
     scheduleOverdueCheck(current);
-    sent.get().response().whenResult(result -> onAttemptResult(current, result));
+    sent.get().response().whenResult(result -> runStep(() -> onAttemptResult(current, result)));
+  }
+
+  private Optional<EndpointConnectionPool.Sent> sendTo(RegisteredEndpoint endpoint) {
+    long remainingMillis = remainingMillis() - RESPONSE_TRANSFER_MARGIN_MILLIS;
+    byte[] bytes =
+        RequestEncoder.encode(
+            request, endpoint, services.headerNames(), Math.max(1, remainingMillis));
+    return connections.send(endpoint.address(), request, transfer, bytes);
   }
 
   private void scheduleOverdueCheck(RequestAttempt current) {
@@ -430,7 +485,7 @@
     long hedgeDelayMillis =
         Math.max(MIN_HEDGE_DELAY_MILLIS, (long) (HEDGE_DELAY_FACTOR * expectedMillis));
     if (hedgeDelayMillis + expectedMillis < remainingMillis()) {
-      current.addTimer(reactor.delay(hedgeDelayMillis, () -> onHedgeDelay(current)));
+      current.addTimer(reactor.delay(hedgeDelayMillis, () -> runStep(() -> onHedgeDelay(current))));
     }
   }
 
@@ -467,7 +522,8 @@
         .hedgeDelayMillis(request.service(), current.expectedMillis(), remainingMillis())
         .ifPresent(
             delayMillis ->
-                current.addTimer(reactor.delay(delayMillis, () -> onTailDelay(current))));
+                current.addTimer(
+                    reactor.delay(delayMillis, () -> runStep(() -> onTailDelay(current)))));
   }
 
   /** Hedges the request, as the response takes longer than nearly all recent ones did. */
@@ -492,12 +548,22 @@
     if (!attemptsInFlight.remove(current)) {
       return;
     }
-    if (result.isRight()) {
-      onResponse(current, result.get());
-      return;
+    try {
+      if (result.isRight()) {
+        onResponse(current, result.get());
+      } else {
+        onConnectionFailure(current, result.getLeft());
+      }
+    } catch (RuntimeException | Error e) {
+      mayHaveRun = true;
+      current.cancelAfterFault();
+      throw e;
     }
-    switch (result.getLeft()) {
-      case CONNECT_REFUSED, CONNECT_TIMED_OUT -> onConnectFailed(current, result.getLeft());
+  }
+
+  private void onConnectionFailure(RequestAttempt current, ConnectionFailure failure) {
+    switch (failure) {
+      case CONNECT_REFUSED, CONNECT_TIMED_OUT -> onConnectFailed(current, failure);
       case RESET_AFTER_IDLE -> {
         connections.recordIdleReset(current.endpoint().address(), current.connection());
         recordLost(current, "LOST_AFTER_IDLE");
@@ -576,6 +642,8 @@
       retryOrFail(RequestOutcome.Unknown.Cause.ANSWER_SPOILED);
       return;
     }
+    RequestOutcome.Responded responded = new RequestOutcome.Responded(response);
+    arrivedResponse = Optional.of(responded);
     lostAttempts.recordResponse();
     if (response.stream().isPresent()) {
       trace.add(current.endpoint().id() + ":STREAMED");
@@ -584,26 +652,24 @@
       streamed = Optional.of(attempt);
       attempt.start();
       cancelAttempts();
-      finish(new RequestOutcome.Responded(response));
+      finish(responded);
       return;
     }
     returnToPool(current);
     boolean failed = response.status() >= MIN_SERVER_ERROR_STATUS;
     current.finish(failed ? Status.FAILED : Status.ANSWERED, report);
-    RequestOutcome.Responded responded = new RequestOutcome.Responded(response);
     if (failed && isInFlight()) {
       mayHaveRun = true;
-      failedResponse = Optional.of(responded);
       return;
     }
     if (failed && request.rule().idempotent() && canRetry()) {
       mayHaveRun = true;
-      failedResponse = Optional.of(responded);
       requestPlacement();
       return;
     }
-    attemptsInFlight.forEach(RequestAttempt::cancelOvertaken);
+    List<RequestAttempt> overtaken = ImmutableList.copyOf(attemptsInFlight);
     attemptsInFlight.clear();
+    overtaken.forEach(RequestAttempt::cancelOvertaken);
     cancelAttempts();
     finish(responded);
   }
@@ -662,6 +728,10 @@
 
   /** Cancels the pending placement and all attempts, as nobody waits for the response. */
   void onCallerDisconnected() {
+    runStep(this::cancelForCaller);
+  }
+
+  private void cancelForCaller() {
     if (outcome.isComplete()) {
       streamed.ifPresent(StreamedAttempt::onCallerDisconnected);
       return;
@@ -677,6 +747,10 @@
    * @param retryAfterMillis after how long the caller should retry a request that was not sent
    */
   void onExit(long retryAfterMillis) {
+    runStep(() -> endAtExit(retryAfterMillis));
+  }
+
+  private void endAtExit(long retryAfterMillis) {
     if (outcome.isComplete()) {
       return;
     }
@@ -696,10 +770,9 @@
       relaying = false;
       relay.get().cancel();
     }
-    for (RequestAttempt current : ImmutableList.copyOf(attemptsInFlight)) {
-      current.cancel();
-    }
+    List<RequestAttempt> cancelled = ImmutableList.copyOf(attemptsInFlight);
     attemptsInFlight.clear();
+    cancelled.forEach(RequestAttempt::cancel);
   }
 
   /** Completes the execution, preferring an endpoint's server error to a failure generated here. */
@@ -708,6 +781,6 @@
     linkMonitor.removeListener(this);
     boolean noResponse =
         newOutcome instanceof RequestOutcome.NotRun || newOutcome instanceof RequestOutcome.Unknown;
-    outcome.trySet(noResponse && failedResponse.isPresent() ? failedResponse.get() : newOutcome);
+    outcome.trySet(noResponse && arrivedResponse.isPresent() ? arrivedResponse.get() : newOutcome);
   }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestOutcome.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestOutcome.java
@@ -28,6 +28,8 @@
       ENDPOINT_FAILED(502),
       /** The VM that the request was sent to stopped before the response arrived. */
       VM_STOPPED(502),
+      /** An error in this VM ended the request after it was sent. */
+      INTERNAL_ERROR(502),
       /** The deadline or the rule's timeout passed. */
       TIMEOUT(504);
 
--- a/entry/src/test/java/org/mustardstage/entry/gateway/AttemptPermitTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/AttemptPermitTest.java
@@ -11,27 +11,20 @@
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.mustardstage.core.hedge.HedgeSettings;
 import org.mustardstage.core.id.ConfigVersion;
-import org.mustardstage.core.id.RegionId;
 import org.mustardstage.core.id.TenantName;
 import org.mustardstage.core.id.VmId;
 import org.mustardstage.core.id.VmIncarnation;
-import org.mustardstage.core.id.ZoneId;
-import org.mustardstage.core.manifest.HostAndPort;
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberStatus;
 import org.mustardstage.core.member.MemberView;
 import org.mustardstage.core.member.MembershipSettings;
-import org.mustardstage.core.placement.RegionShiftLimit;
-import org.mustardstage.core.quota.QuotaSettings;
 import org.mustardstage.core.tenant.Tenant;
 import org.mustardstage.core.tenant.TenantDirectory;
 import org.mustardstage.core.tenant.TenantQuota;
@@ -40,9 +33,6 @@
 class AttemptPermitTest {
   private static final TenantName LIMITED = new TenantName("limited");
   private static final TenantName UNLIMITED = new TenantName("unlimited");
-  private static final ZoneId ZONE = new ZoneId("north-a");
-  private static final RegionId REGION = new RegionId("north");
-  private static final HostAndPort ADDRESS = new HostAndPort("127.0.0.1", 1);
 
   /** Less than the quota lets run at once: its burst and the stored part of the reserve. */
   private static final int CERTAIN = 5;
@@ -58,30 +48,45 @@
 
   @BeforeEach
   void becomeOwner() throws IOException {
-    gate = new QuotaGate(settings(), eventloop, () -> System.nanoTime() + aheadNanos);
-    Member self =
-        new Member(
-            new VmIncarnation(new VmId("vm-1"), 1),
-            ZONE,
-            REGION,
-            ADDRESS,
-            ADDRESS,
-            ADDRESS,
-            /* leaving= */ false);
-    MemberStatus status =
-        new MemberStatus(self, MemberStatus.Liveness.ALIVE, false, new ConfigVersion(1));
-    gate.setMembers(new MemberView(self, List.of(status), ImmutableSet.of()));
-    gate.setTenants(
-        new TenantDirectory(
-            ImmutableMap.of(
-                LIMITED, tenant(LIMITED, Optional.of(new TenantQuota(20, 5))),
-                UNLIMITED, tenant(UNLIMITED, Optional.empty())),
-            Map.of()));
+    gate = new QuotaGate(TestSettings.ofVm1(), eventloop, () -> System.nanoTime() + aheadNanos);
+    gate.setMembers(viewOf(member("vm-1")));
+    gate.setTenants(tenants());
     aheadNanos = MembershipSettings.DISCOVERY_NANOS;
     // Loans are prolonged meanwhile, and the quota gains its burst.
     runFor(Duration.ofSeconds(3));
   }
 
+  private static Member member(String id) {
+    return new Member(
+        new VmIncarnation(new VmId(id), 1),
+        TestSettings.ZONE,
+        TestSettings.REGION,
+        TestSettings.ADDRESS,
+        TestSettings.ADDRESS,
+        TestSettings.ADDRESS,
+        /* leaving= */ false);
+  }
+
+  /** Returns the view of a VM that takes itself and {@code others} to be alive. */
+  private static MemberView viewOf(Member self, Member... others) {
+    ImmutableList<MemberStatus> statuses =
+        Stream.concat(Stream.of(self), Stream.of(others))
+            .map(
+                member ->
+                    new MemberStatus(
+                        member, MemberStatus.Liveness.ALIVE, false, new ConfigVersion(1)))
+            .collect(ImmutableList.toImmutableList());
+    return new MemberView(self, statuses, ImmutableSet.of());
+  }
+
+  private static TenantDirectory tenants() {
+    return new TenantDirectory(
+        ImmutableMap.of(
+            LIMITED, tenant(LIMITED, Optional.of(new TenantQuota(20, 5))),
+            UNLIMITED, tenant(UNLIMITED, Optional.empty())),
+        Map.of());
+  }
+
   private void runFor(Duration time) {
     eventloop.delay(time.toMillis(), () -> {});
     eventloop.run();
@@ -91,32 +96,6 @@
     return new Tenant(name, OptionalInt.empty(), ImmutableSet.of(), quota);
   }
 
-  private static GatewaySettings settings() {
-    return new GatewaySettings(
-        new VmId("vm-1"),
-        ZONE,
-        REGION,
-        ImmutableMap.of(ZONE, REGION),
-        ADDRESS,
-        ADDRESS,
-        Optional.empty(),
-        ADDRESS,
-        ADDRESS,
-        ADDRESS,
-        ImmutableList.of(),
-        1_000,
-        1_000,
-        0.2,
-        100,
-        new RegionShiftLimit(0.15, Duration.ofSeconds(2)),
-        OptionalLong.empty(),
-        420,
-        1_024,
-        "info",
-        QuotaSettings.defaults(),
-        HedgeSettings.OFF);
-  }
-
   private AttemptPermit acquire(Optional<TenantName> tenant) {
     AttemptPermit permit = new AttemptPermit(gate, tenant);
     permit.acquire(() -> granted++, refused -> refusal = Optional.of(refused), () -> {});
@@ -155,4 +134,25 @@
 
     assertThat(granted, is(2 * TOO_MANY));
   }
+
+  /** The first error lost the decisions after it, and each decision ran inside the one before. */
+  @Test
+  void waitingAttemptsAreToldOneAfterAnotherWhateverOneOfThemDoes() throws IOException {
+    QuotaGate borrower = new QuotaGate(TestSettings.ofVm1(), eventloop, System::nanoTime);
+    borrower.setMembers(viewOf(member("vm-1"), member("vm-0"), member("vm-2")));
+    borrower.setTenants(tenants());
+    SequenceCheck told = new SequenceCheck();
+    for (int i = 0; i < TOO_MANY; i++) {
+      new AttemptPermit(borrower, Optional.of(LIMITED))
+          .acquire(
+              () -> told.runThenFail(() -> {}), refused -> told.runThenFail(() -> {}), () -> {});
+    }
+    assertThat(told.runs(), is(0));
+
+    // No owner answers.
+    runFor(Duration.ofSeconds(2));
+
+    assertThat(told.runs(), is(TOO_MANY));
+    assertThat(told.maxNesting(), is(1));
+  }
 }
