Let the last statement about a cold time count

Cause: EndpointRegistry took the earlier end of two cold times of one incarnation, to undo the delay of heartbeats, and so undid every lengthening. Schedulers ignored shortenings, a row with the same remaining time was taken for a heartbeat, and nobody read X-Cold-Ms.

Change: of all that an incarnation says, in entries and in responses to probes, the last counts; where an entry may be older than what is known, the longer time. Each version of a cold endpoint's row is a change. What no endpoint has said (after an evacuation or a recovered circuit) is kept apart. A lengthened cold time is logged as ENDPOINT_REGISTERED.

--- a/core/src/main/java/org/mustardstage/core/gateway/RegisteredEndpoint.java
+++ b/core/src/main/java/org/mustardstage/core/gateway/RegisteredEndpoint.java
@@ -32,8 +32,11 @@
   /** Sums of the slots of a few thousand endpoints stay within the range of an int. */
   private static final int MAX_SLOTS = 1_000_000;
 
-  /** 1e9 seconds, which stay within the range of a long as nanoseconds. */
-  private static final long MAX_COLD_MILLIS = 1_000_000_000_000L;
+  /**
+   * The longest remaining cold time: 1e9 seconds, which stay within the range of a long as
+   * nanoseconds.
+   */
+  public static final long MAX_COLD_MILLIS = 1_000_000_000_000L;
 
   /** Checks the ranges, and that the address needs no name lookup, which would block a thread. */
   public RegisteredEndpoint {
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointRegistry.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointRegistry.java
@@ -24,6 +24,10 @@
  * <p>An incarnation that was once known as leaving stays so, whether its entry or one of its
  * responses said it. Tolerates a registry that is restored from an older copy: for a while after
  * that, entries of incarnations that were removed or replaced before are not believed.
+ *
+ * <p>Of all that an incarnation says about how long it stays cold, in entries and in responses, the
+ * last counts, whether it shortens the time or lengthens it: an endpoint may become cold again at
+ * any moment. Where an entry may be older than what is known, the longer time counts.
  */
 public final class EndpointRegistry {
   /** How long after the registry's recovery an expired entry may still be missing. */
@@ -38,6 +42,12 @@
    */
   private static final long RESTORE_GRACE_NANOS = 30_000_000_000L;
 
+  /** How long an entry may be on its way, directly and by another VM. */
+  private static final long ENTRY_LATENCY_NANOS = 2_000_000_000L;
+
+  /** By how much a cold time must be lengthened for it to be reported as a change. */
+  private static final long REPORTED_LENGTHENING_NANOS = 1_000_000_000L;
+
   /** How long removed and leaving incarnations are remembered. */
   private static final long DEPARTURE_MEMORY_NANOS = 600_000_000_000L;
 
@@ -46,10 +56,10 @@
   private final Map<EndpointId, Departure> removed = new HashMap<>();
   private final Map<EndpointId, Departure> leaving = new HashMap<>();
 
-  /** Entries that are not believed until {@link #restoreGraceEndNanos}. */
+  /** Entries that are not believed until the grace period after a restoration ends. */
   private final Map<EndpointId, RegisteredEndpoint> unconfirmed = new HashMap<>();
 
-  private long restoreGraceEndNanos = Long.MIN_VALUE / 2;
+  private long restoredNanos = Long.MIN_VALUE / 2;
   private final Map<EndpointId, Entry> entries = new HashMap<>();
   private final Map<EndpointId, Long> missingSinceNanos = new HashMap<>();
   private final Set<ZoneId> evacuatedZones = new HashSet<>();
@@ -64,13 +74,14 @@
     }
   }
 
-  private static final class Entry {
-    private final RegisteredEndpoint endpoint;
-    private final long coldUntilNanos;
-
+  /**
+   * What is known of an incarnation.
+   *
+   * @param responseNanos when it last said in a response how long it stays cold
+   */
+  private record Entry(RegisteredEndpoint endpoint, long coldUntilNanos, long responseNanos) {
     Entry(RegisteredEndpoint endpoint, long coldUntilNanos) {
-      this.endpoint = endpoint;
-      this.coldUntilNanos = coldUntilNanos;
+      this(endpoint, coldUntilNanos, Long.MIN_VALUE / 2);
     }
   }
 
@@ -88,7 +99,7 @@
    */
   public void onRegistryRestored(long nowNanos) {
     availableSinceNanos = nowNanos;
-    restoreGraceEndNanos = nowNanos + RESTORE_GRACE_NANOS;
+    restoredNanos = nowNanos;
   }
 
   /**
@@ -112,11 +123,11 @@
   /**
    * Stores an entry.
    *
-   * @return whether the endpoint is new, has restarted, has started to drain, or has another number
-   *     of slots; false for a mere heartbeat
+   * @return whether the endpoint is new, has restarted, has started to drain, has another number of
+   *     slots, or has become cold again; false for a mere heartbeat
    */
   public boolean updateEntry(long nowNanos, RegisteredEndpoint endpoint) {
-    if (nowNanos - restoreGraceEndNanos < 0 && isOutdated(endpoint)) {
+    if (isInRestoreGrace(nowNanos) && isOutdated(endpoint)) {
       unconfirmed.put(endpoint.id(), endpoint);
       return false;
     }
@@ -124,6 +135,10 @@
     return storeEntry(nowNanos, endpoint);
   }
 
+  private boolean isInRestoreGrace(long nowNanos) {
+    return nowNanos - restoredNanos < RESTORE_GRACE_NANOS;
+  }
+
   /** Returns whether the incarnation was removed, or replaced by a later one. */
   private boolean isOutdated(RegisteredEndpoint endpoint) {
     Departure departure = removed.get(endpoint.id());
@@ -139,18 +154,43 @@
     long coldUntilNanos = nowNanos + endpoint.coldRemainingMillis() * NANOS_PER_MILLI;
     Entry known = entries.get(endpoint.id());
     boolean sameIncarnation = known != null && known.endpoint.isSameIncarnationAs(endpoint);
-    if (sameIncarnation
-        && endpoint.coldRemainingMillis() > 0
-        && known.coldUntilNanos - nowNanos > 0) {
-      coldUntilNanos = Math.min(coldUntilNanos, known.coldUntilNanos);
+    if (!sameIncarnation) {
+      entries.put(endpoint.id(), new Entry(endpoint, coldUntilNanos));
+      return true;
+    }
+    if (mayBeOlder(nowNanos, known) && known.coldUntilNanos - coldUntilNanos > 0) {
+      coldUntilNanos = known.coldUntilNanos;
     }
-    if (sameIncarnation && known.endpoint.draining()) {
+    if (known.endpoint.draining()) {
       endpoint = endpoint.asDraining();
     }
-    entries.put(endpoint.id(), new Entry(endpoint, coldUntilNanos));
-    return !sameIncarnation
-        || known.endpoint.draining() != endpoint.draining()
-        || known.endpoint.slots() != endpoint.slots();
+    entries.put(endpoint.id(), new Entry(endpoint, coldUntilNanos, known.responseNanos));
+    long lengtheningNanos = coldUntilNanos - Math.max(nowNanos, known.coldUntilNanos);
+    return known.endpoint.draining() != endpoint.draining()
+        || known.endpoint.slots() != endpoint.slots()
+        || lengtheningNanos > REPORTED_LENGTHENING_NANOS;
+  }
+
+  /** Returns whether an entry that arrives now may have been written before what is known. */
+  private boolean mayBeOlder(long nowNanos, Entry known) {
+    return nowNanos - restoredNanos < RECOVERY_NANOS
+        || nowNanos - known.responseNanos < ENTRY_LATENCY_NANOS;
+  }
+
+  /**
+   * Records how much longer an incarnation stays cold, by a response of it.
+   *
+   * @return whether the incarnation is known
+   */
+  public boolean recordColdness(
+      long nowNanos, EndpointIncarnation incarnation, long coldRemainingMillis) {
+    Entry known = entries.get(incarnation.id());
+    if (known == null || !EndpointIncarnation.of(known.endpoint).equals(incarnation)) {
+      return false;
+    }
+    long coldUntilNanos = nowNanos + coldRemainingMillis * NANOS_PER_MILLI;
+    entries.put(incarnation.id(), new Entry(known.endpoint, coldUntilNanos, nowNanos));
+    return true;
   }
 
   /**
@@ -208,7 +248,7 @@
     removed.values().removeIf(departure -> isForgotten(nowNanos, departure));
     leaving.values().removeIf(departure -> isForgotten(nowNanos, departure));
     boolean changed = false;
-    if (nowNanos - restoreGraceEndNanos >= 0 && !unconfirmed.isEmpty()) {
+    if (!isInRestoreGrace(nowNanos) && !unconfirmed.isEmpty()) {
       List<RegisteredEndpoint> confirmed = ImmutableList.copyOf(unconfirmed.values());
       unconfirmed.clear();
       confirmed.forEach(endpoint -> storeEntry(nowNanos, endpoint));
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointState.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointState.java
@@ -29,7 +29,13 @@
   private final OthersLoadEstimate othersLoad = new OthersLoadEstimate();
   private double slowness = 1;
   private final WorkDurationEstimate workDuration = new WorkDurationEstimate();
-  private long coldUntilNanos;
+
+  /** Until when the endpoint is cold, by what it said last. */
+  private long statedColdUntilNanos = Long.MIN_VALUE / 2;
+
+  /** Until when the endpoint is taken for cold, whatever it says. */
+  private long assumedColdUntilNanos = Long.MIN_VALUE / 2;
+
   private boolean leaving;
   private long restUntilNanos = Long.MIN_VALUE / 2;
   private Optional<ColdStartRateLimiter> coldStartRateLimiter = Optional.empty();
@@ -123,21 +129,49 @@
     return nowNanos - startedNanos > CACHE_FILL_NANOS && !isCold(nowNanos);
   }
 
-  /** Limits the request rate until {@code untilNanos}, when the endpoint has warmed up. */
-  void markCold(long nowNanos, long untilNanos, double requestsPerSecond) {
-    if (untilNanos - coldUntilNanos <= 0 && isCold(nowNanos)) {
-      return;
+  /**
+   * Limits the request rate until {@code untilNanos}, by what the endpoint has said. Replaces what
+   * it said before; it is warm if {@code untilNanos} has passed.
+   */
+  void setColdUntil(long nowNanos, long untilNanos, double requestsPerSecond) {
+    boolean wasCold = isCold(nowNanos);
+    statedColdUntilNanos = untilNanos;
+    onColdTimeSet(nowNanos, wasCold, requestsPerSecond);
+  }
+
+  /**
+   * Limits the request rate until {@code untilNanos} at least, as the endpoint may have restarted
+   * and what it said may be older than that.
+   */
+  void assumeCold(long nowNanos, long untilNanos, double requestsPerSecond) {
+    boolean wasCold = isCold(nowNanos);
+    if (untilNanos - assumedColdUntilNanos > 0) {
+      assumedColdUntilNanos = untilNanos;
     }
-    if (coldStartRateLimiter.isEmpty() || !isCold(nowNanos)) {
+    onColdTimeSet(nowNanos, wasCold, requestsPerSecond);
+  }
+
+  private void onColdTimeSet(long nowNanos, boolean wasCold, double requestsPerSecond) {
+    boolean cold = isCold(nowNanos);
+    if (cold && !wasCold) {
       coldStartRateLimiter = Optional.of(new ColdStartRateLimiter(nowNanos, requestsPerSecond));
-      startedNanos = untilNanos;
       warmKeys.clear();
     }
-    coldUntilNanos = untilNanos;
+    if (cold) {
+      startedNanos = coldUntilNanos();
+    } else if (wasCold) {
+      startedNanos = nowNanos;
+    }
+  }
+
+  private long coldUntilNanos() {
+    return assumedColdUntilNanos - statedColdUntilNanos > 0
+        ? assumedColdUntilNanos
+        : statedColdUntilNanos;
   }
 
   boolean isCold(long nowNanos) {
-    return coldStartRateLimiter.isPresent() && nowNanos - coldUntilNanos < 0;
+    return nowNanos - coldUntilNanos() < 0;
   }
 
   /** Returns whether the endpoint is warm, or cold but within its request rate. */
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -130,9 +130,7 @@
       } else {
         state.update(endpoint, nowNanos);
       }
-      if (each.coldUntilNanos() - nowNanos > 0) {
-        state.markCold(nowNanos, each.coldUntilNanos(), spec.coldRequestsPerSecond());
-      }
+      state.setColdUntil(nowNanos, each.coldUntilNanos(), spec.coldRequestsPerSecond());
       newStates.put(endpoint.id(), state);
     }
     if (warmSlotsInOwnRegion(nowNanos, newStates.values()) < previousSlots) {
@@ -275,7 +273,7 @@
       regionShiftLimiter.allowFailover(nowNanos);
     }
     if (recovered) {
-      state.markCold(
+      state.assumeCold(
           nowNanos,
           nowNanos + (long) (spec.coldDurationMillis() * NANOS_PER_MILLI),
           spec.coldRequestsPerSecond());
--- a/entry/src/main/java/org/mustardstage/entry/gateway/DeploymentState.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/DeploymentState.java
@@ -222,6 +222,31 @@
         : adapter.readEndpoint(row.key(), row.value().get());
   }
 
+  /**
+   * Returns what tells whether a newer version of a row says anything new of its endpoint. An entry
+   * of a cold endpoint does: it says how long it stays cold from when it was written.
+   */
+  Object contentOfEndpointRow(StoredRow row) {
+    Either<String, RegisteredEndpoint> read = readEndpoint(row);
+    boolean cold = read.isRight() && read.get().coldRemainingMillis() > 0;
+    return cold ? new ColdEntry(read.get(), row.version()) : read;
+  }
+
+  private record ColdEntry(RegisteredEndpoint endpoint, long rowVersion) {
+    /** Is that of the decoded entry, as VMs of earlier releases compute it. */
+    @Override
+    public int hashCode() {
+      return Either.right(endpoint).hashCode();
+    }
+  }
+
+  /** Applies how much longer an endpoint stays cold, by a response of it. */
+  void recordColdness(EndpointIncarnation endpoint, long coldRemainingMillis) {
+    if (endpointRegistry.recordColdness(clock.getAsLong(), endpoint, coldRemainingMillis)) {
+      publishEndpoints();
+    }
+  }
+
   private void removeEndpoint(long nowNanos, StoredRow row, String reason) {
     EndpointId id;
     try {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
@@ -5,12 +5,14 @@
 import com.google.common.collect.ImmutableSet;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
+import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
@@ -46,6 +48,8 @@
   private final ReachedEndpoints reached = new ReachedEndpoints();
   private final Set<Listener> listeners = new LinkedHashSet<>();
   private final LossReports<Runnable> lossReports = new LossReports<>(reachability);
+  private BiConsumer<RegisteredEndpoint, Duration> coldnessListener =
+      (endpoint, coldRemaining) -> {};
   private ImmutableMap<ServiceName, ServiceSpec> services = ImmutableMap.of();
   private ImmutableMap<EndpointId, HostAndPort> addresses = ImmutableMap.of();
   private long cutOffNanos;
@@ -77,6 +81,11 @@
     listeners.remove(listener);
   }
 
+  /** Sets what is told how much longer an endpoint stays cold, by its response to a probe. */
+  void setColdnessListener(BiConsumer<RegisteredEndpoint, Duration> listener) {
+    coldnessListener = listener;
+  }
+
   /** Replaces the declared services, which say how to check the health of their endpoints. */
   void setServices(ImmutableMap<ServiceName, ServiceSpec> declared) {
     services = declared;
@@ -322,6 +331,9 @@
     if (check.isAnsweredBy(response)) {
       connections.keepIdle(check.endpoint().address(), connection);
       recordResponse(check.endpoint(), begunNanos, /* onNewConnection= */ true);
+      check
+          .coldRemaining(response)
+          .ifPresent(remaining -> coldnessListener.accept(check.endpoint(), remaining));
       return;
     }
     connection.close();
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointReport.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointReport.java
@@ -3,10 +3,12 @@
 import com.google.common.base.Splitter;
 import com.google.common.primitives.Doubles;
 import com.google.common.primitives.Ints;
+import com.google.common.primitives.Longs;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.placement.AttemptResult.LoadReport;
 import org.mustardstage.core.placement.EndpointNotice;
 import org.mustardstage.core.placement.LimitNotice;
@@ -46,6 +48,23 @@
         new EndpointNotice(isLeaving(response, names), retryAfter, readLimit(response, names)));
   }
 
+  /** Reads how much longer an endpoint stays cold; a value that can't be read is logged. */
+  static Optional<Duration> readColdRemaining(EndpointResponse response, HeaderNames names) {
+    Optional<String> text = response.headers().find(names.coldMillis());
+    if (text.isEmpty()) {
+      return Optional.empty();
+    }
+    Long millis = Longs.tryParse(text.get());
+    if (millis == null || millis < 0 || millis > RegisteredEndpoint.MAX_COLD_MILLIS) {
+      logUnreadable(
+          names.coldMillis(),
+          text.get(),
+          "a whole number of milliseconds from 0 to " + RegisteredEndpoint.MAX_COLD_MILLIS);
+      return Optional.empty();
+    }
+    return Optional.of(Duration.ofMillis(millis));
+  }
+
   private static boolean isLeaving(EndpointResponse response, HeaderNames names) {
     return response.headers().find(names.leaving()).filter("1"::equals).isPresent();
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayControl.java
@@ -6,6 +6,7 @@
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
@@ -169,7 +170,7 @@
             PlatformAdapter.Table.ENDPOINTS,
             ENDPOINT_POLL_SETTINGS,
             scheduler,
-            deployment::readEndpoint,
+            deployment::contentOfEndpointRow,
             new EndpointListener());
     this.rowReplicator =
         new RowReplicator(
@@ -316,6 +317,13 @@
         });
   }
 
+  /** Applies how much longer an endpoint stays cold, by its response to a health check. */
+  void onEndpointColdness(RegisteredEndpoint endpoint, Duration coldRemaining) {
+    eventloop.execute(
+        () ->
+            deployment.recordColdness(EndpointIncarnation.of(endpoint), coldRemaining.toMillis()));
+  }
+
   private void execute(List<MemberAction> actions) {
     for (MemberAction action : actions) {
       switch (action) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayProcess.java
@@ -23,6 +23,7 @@
     this.control = new GatewayControl(settings, adapter, incarnationNumber, server);
     server.setKeyCheck(control::acceptsKeys);
     server.setLeavingListener(control::onEndpointLeaving);
+    server.setColdnessListener(control::onEndpointColdness);
     server.setLimitListener(control::onEndpointLimit);
     server.setCrashListener(control);
     server.setQuotaSender(control::sendQuotaMessages);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayServer.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -168,6 +169,14 @@
     dispatcher.setLeavingListener(listener);
   }
 
+  /**
+   * Sets what is told how much longer an endpoint stays cold, by its response to a health check.
+   * The listener runs on the traffic thread.
+   */
+  void setColdnessListener(BiConsumer<RegisteredEndpoint, Duration> listener) {
+    linkMonitor.setColdnessListener(listener);
+  }
+
   /**
    * Sets what is told of the limits that endpoints name in responses. The listener runs on the
    * traffic thread.
--- a/entry/src/main/java/org/mustardstage/entry/gateway/HeaderNames.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/HeaderNames.java
@@ -10,6 +10,8 @@
  * @param endpointSeal the endpoint's proof that it produced the response
  * @param notExecuted present if the endpoint did not run the request
  * @param load the endpoint's running requests, queued requests and slots
+ * @param coldMillis how much longer the endpoint stays cold, in milliseconds, in its responses to
+ *     health checks
  * @param leaving present in the responses of an endpoint that is about to stop
  * @param requestLimit the requests per second that the endpoint takes from all VMs together
  * @param apiKey the API key of a caller, which endpoints never receive
@@ -24,6 +26,7 @@
     String endpointSeal,
     String notExecuted,
     String load,
+    String coldMillis,
     String leaving,
     String requestLimit,
     String apiKey,
--- a/entry/src/main/java/org/mustardstage/entry/gateway/HealthCheck.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/HealthCheck.java
@@ -1,6 +1,8 @@
 package org.mustardstage.entry.gateway;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 
 /**
@@ -37,11 +39,21 @@
   boolean isAnsweredBy(EndpointResponse response) {
     boolean isRejected =
         response.headers().has(headerNames.notExecuted()) && !response.isMisdirected();
-    return isRejected
-        || response
-            .headers()
-            .find(headerNames.endpointId())
-            .filter(endpoint.id().value()::equals)
-            .isPresent();
+    return isRejected || namesTheEndpoint(response);
+  }
+
+  private boolean namesTheEndpoint(EndpointResponse response) {
+    return response
+        .headers()
+        .find(headerNames.endpointId())
+        .filter(endpoint.id().value()::equals)
+        .isPresent();
+  }
+
+  /** Returns how much longer the endpoint stays cold, if its response says so. */
+  Optional<Duration> coldRemaining(EndpointResponse response) {
+    return namesTheEndpoint(response)
+        ? EndpointReport.readColdRemaining(response, headerNames)
+        : Optional.empty();
   }
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/EndpointNoticeTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/EndpointNoticeTest.java
@@ -11,8 +11,12 @@
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
@@ -52,6 +56,19 @@
     assertThat(reported, contains(new EndpointId("i-1")));
   }
 
+  /** A probe is sent after the loss of a connection. */
+  @Test
+  void coldnessInTheResponseToAProbeIsReported() throws Exception {
+    BlockingQueue<Duration> reported = new LinkedBlockingQueue<>();
+    server.setColdnessListener((endpoint, coldRemaining) -> reported.add(coldRemaining));
+    publish(first);
+    first.setHealthHeaders("X-Cold-Ms: 2500\r\n");
+    first.setHandler((request, socket) -> socket.close());
+    post(NON_IDEMPOTENT_PATH, "x");
+
+    assertThat(reported.poll(5, TimeUnit.SECONDS), is(Duration.ofMillis(2_500)));
+  }
+
   @Test
   void laterIncarnationOfALeavingEndpointIsUsed() throws Exception {
     publish(first);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeEndpoint.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeEndpoint.java
@@ -40,6 +40,7 @@
   private final ServerSocket server;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final List<ReceivedRequest> receivedRequests = new CopyOnWriteArrayList<>();
+  private volatile String healthHeaders = "";
   private volatile Handler handler = (request, socket) -> respondOk(request, socket, "done");
 
   FakeEndpoint(String id) throws IOException {
@@ -52,6 +53,11 @@
     handler = newHandler;
   }
 
+  /** Sets lines to add to the responses to health checks, each with its end. */
+  void setHealthHeaders(String lines) {
+    healthHeaders = lines;
+  }
+
   List<ReceivedRequest> receivedRequests() {
     return receivedRequests;
   }
@@ -135,7 +141,7 @@
       while (!socket.isClosed()) {
         ReceivedRequest request = read(in);
         if (request.requestLine().startsWith("GET " + HEALTH_PATH + " ")) {
-          respond(request, socket, "200 OK", "X-Instance-Id: " + id + "\r\n", "");
+          respond(request, socket, "200 OK", "X-Instance-Id: " + id + "\r\n" + healthHeaders, "");
           continue;
         }
         receivedRequests.add(request);
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayControlTest.java
@@ -331,6 +331,7 @@
           "Seal",
           "Not-Run",
           "Load",
+          "Cold",
           "Leaving",
           "Limit",
           "Key",
--- a/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/GatewayTestBed.java
@@ -58,6 +58,7 @@
           "X-Server-Seal",
           "X-Not-Executed",
           "X-Server-Load",
+          "X-Cold-Ms",
           "Server-Leaving",
           "Server-Limit",
           "X-Key",
@@ -260,7 +261,8 @@
     }
   }
 
-  private static final class FakeAdapter implements PlatformAdapter {
+  /** An adapter of a traffic thread, which reads no tables. */
+  static class FakeAdapter implements PlatformAdapter {
     @Override
     public HeaderNames headerNames() {
       return HEADER_NAMES;
--- a/entry/src/test/java/org/mustardstage/entry/gateway/HealthCheckTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/HealthCheckTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.not;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -51,6 +52,30 @@
     assertThat(check.isAnsweredBy(response), is(answered));
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    "i-1, 2500, 2500",
+    "i-1, 0, 0",
+    "i-1, 1000000000000, 1000000000000",
+    "i-1, 1000000000001, -1",
+    "i-1, -1, -1",
+    "i-1, 2.5, -1",
+    "i-1, soon, -1",
+    "i-2, 2500, -1"
+  })
+  void onlyTheEndpointItselfSaysHowLongItStaysCold(String id, String value, long millis) {
+    EndpointResponse response =
+        new EndpointResponse(
+            200,
+            new HeaderList(
+                List.of(
+                    new HeaderList.Line("X-Instance-Id", id),
+                    new HeaderList.Line("X-Cold-Ms", value))),
+            new byte[0]);
+
+    assertThat(check.coldRemaining(response).map(Duration::toMillis).orElse(-1L), is(millis));
+  }
+
   /** The id of a request that no caller has sent would be taken for one of a caller. */
   @Test
   void checkNamesTheExpectedEndpointAndNoRequest() {
