End what is known of an endpoint with its incarnation

Cause: a new incarnation kept the circuit of the old one. If it arrived while a probe was on its way, the probe's result was dropped as one of the old incarnation, and the circuit waited for it for ever. Load, the limit of a cold endpoint, "not reached" and failed connections outlasted the incarnation too, and results of an earlier scheduler freed slots of a later one.

Change: a new incarnation gets a new EndpointState, which knows its running requests by id. CurrentEndpoints says which incarnations have ended; ReachedEndpoints and EndpointReachability forget those, and EndpointLinkMonitor ignores their results. A later "leaving" isn't replaced by an earlier one. A probe is given up after 10 s.

--- a/core/src/main/java/org/mustardstage/core/placement/EndpointCircuitBreaker.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointCircuitBreaker.java
@@ -5,13 +5,17 @@
  *
  * <p>The circuit opens when the endpoint can't be reached or doesn't respond in time, for a
  * duration that doubles each time. It is then half-open and allows one probe request at a time
- * until one succeeds. An endpoint that fails or rejects only some of its requests stays in use; its
- * failure rate makes the scheduler prefer others.
+ * until one succeeds. A probe without a result is given up after a time, so that the endpoint is
+ * tried again in any case. An endpoint that fails or rejects only some of its requests stays in
+ * use; its failure rate makes the scheduler prefer others.
  */
 final class EndpointCircuitBreaker {
   private static final long MIN_OPEN_NANOS = 250_000_000L;
   private static final long MAX_OPEN_NANOS = 2_000_000_000L;
 
+  /** How long a probe may take before another one is sent. */
+  private static final long MAX_PROBE_NANOS = 10_000_000_000L;
+
   /** Smoothing factor of the failure rate; about the last eight attempts determine it. */
   private static final double SMOOTHING_FACTOR = 0.125;
 
@@ -26,6 +30,7 @@
   private boolean tripped;
 
   private boolean probeInFlight;
+  private long probeSentNanos;
   private boolean wasUnreachable;
 
   /** Returns whether a request may be sent now. */
@@ -33,7 +38,8 @@
     if (!tripped) {
       return true;
     }
-    return nowNanos - openUntilNanos >= 0 && !probeInFlight;
+    boolean probing = probeInFlight && nowNanos - probeSentNanos < MAX_PROBE_NANOS;
+    return nowNanos - openUntilNanos >= 0 && !probing;
   }
 
   /** Returns the exponential moving average of failed attempts, from 0 to 1. */
@@ -51,9 +57,10 @@
   }
 
   /** Records that a request was sent, which is a probe if the circuit is half-open. */
-  void recordSent() {
+  void recordSent(long nowNanos) {
     if (tripped) {
       probeInFlight = true;
+      probeSentNanos = nowNanos;
     }
   }
 
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointReachability.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointReachability.java
@@ -1,12 +1,12 @@
 package org.mustardstage.core.placement;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 import org.mustardstage.core.id.EndpointId;
 import org.mustardstage.core.id.ZoneId;
@@ -81,7 +82,7 @@
   private final Map<EndpointId, Long> failureNanos = new HashMap<>();
 
   private ImmutableList<RegisteredEndpoint> probeOrder = ImmutableList.of();
-  private Map<EndpointId, ZoneId> zones = Map.of();
+  private final CurrentEndpoints endpoints = new CurrentEndpoints();
   private State state = State.REACHABLE;
 
   /** When the newest connection was begun on which an endpoint has answered. */
@@ -115,12 +116,10 @@
     nextProbe = random.nextInt(Integer.MAX_VALUE);
   }
 
-  /** Replaces the endpoints of all services. */
-  public void setEndpoints(Collection<RegisteredEndpoint> endpoints) {
-    zones = new HashMap<>();
-    endpoints.forEach(endpoint -> zones.put(endpoint.id(), endpoint.zone()));
-    failureNanos.keySet().retainAll(zones.keySet());
-    probeOrder = alternateZones(endpoints);
+  /** Replaces the endpoints of all services. Forgets the failures of earlier incarnations. */
+  public void setEndpoints(Collection<RegisteredEndpoint> newEndpoints) {
+    failureNanos.keySet().removeAll(endpoints.replace(newEndpoints));
+    probeOrder = alternateZones(newEndpoints);
     updateState();
   }
 
@@ -185,7 +184,7 @@
    * has answered on one that was begun later.
    */
   public void recordFailed(long begunNanos, EndpointId endpoint) {
-    if (!zones.containsKey(endpoint) || begunNanos - lastAnsweredNanos <= 0) {
+    if (!endpoints.contains(endpoint) || begunNanos - lastAnsweredNanos <= 0) {
       return;
     }
     if (state != State.CUT_OFF) {
@@ -198,9 +197,9 @@
 
   private void updateState() {
     boolean wasCutOff = state == State.CUT_OFF;
-    boolean isCutOff = !zones.isEmpty() && (haveAllFailed() || (wasCutOff && !isSettled()));
+    boolean isCutOff = !endpoints.isEmpty() && (haveAllFailed() || (wasCutOff && !isSettled()));
     boolean isSuspected =
-        !zones.isEmpty()
+        !endpoints.isEmpty()
             && (suspicionNanos - lastAnsweredNanos > 0
                 || failureNanos.size() >= SUSPICIOUS_ENDPOINTS);
     state = isCutOff ? State.CUT_OFF : isSuspected ? State.SUSPECTED : State.REACHABLE;
@@ -215,8 +214,8 @@
 
   private boolean haveAllFailed() {
     int minFailed = isSoonAfterCut() ? MIN_FAILED_ENDPOINTS_AFTER_CUT : MIN_FAILED_ENDPOINTS;
-    return failureNanos.size() >= Math.min(minFailed, zones.size())
-        && failedZones().size() >= Math.min(MIN_FAILED_ZONES, Set.copyOf(zones.values()).size());
+    return failureNanos.size() >= Math.min(minFailed, endpoints.size())
+        && failedZones().size() >= Math.min(MIN_FAILED_ZONES, zones().size());
   }
 
   private boolean isSoonAfterCut() {
@@ -233,10 +232,16 @@
             || lastAnsweredNanos - firstAnswerNanos.getAsLong() >= MAX_SETTLING_NANOS);
   }
 
+  private Set<ZoneId> zones() {
+    return zonesOf(endpoints.all().stream());
+  }
+
   private Set<ZoneId> failedZones() {
-    Set<ZoneId> failed = new HashSet<>();
-    failureNanos.keySet().forEach(endpoint -> failed.add(zones.get(endpoint)));
-    return failed;
+    return zonesOf(failureNanos.keySet().stream().map(endpoints::find).flatMap(Optional::stream));
+  }
+
+  private static Set<ZoneId> zonesOf(Stream<RegisteredEndpoint> endpoints) {
+    return endpoints.map(RegisteredEndpoint::zone).collect(ImmutableSet.toImmutableSet());
   }
 
   /**
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointRegistry.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointRegistry.java
@@ -103,13 +103,17 @@
   }
 
   /**
-   * Records that an incarnation said in a response that it is leaving.
+   * Records that an incarnation said in a response that it is leaving. A later incarnation that is
+   * leaving too is not forgotten for it.
    *
    * @return whether this was not known before
    */
   public boolean markLeaving(long nowNanos, EndpointIncarnation endpoint) {
-    Departure known =
-        leaving.put(endpoint.id(), new Departure(endpoint.startTimeMillis(), nowNanos));
+    Departure known = leaving.get(endpoint.id());
+    if (known != null && known.startTimeMillis() > endpoint.startTimeMillis()) {
+      return false;
+    }
+    leaving.put(endpoint.id(), new Departure(endpoint.startTimeMillis(), nowNanos));
     return known == null || known.startTimeMillis() != endpoint.startTimeMillis();
   }
 
--- a/core/src/main/java/org/mustardstage/core/placement/EndpointState.java
+++ b/core/src/main/java/org/mustardstage/core/placement/EndpointState.java
@@ -1,10 +1,16 @@
 package org.mustardstage.core.placement;
 
+import com.google.common.base.Preconditions;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
 
-/** A scheduler's view of one endpoint: load, speed, warm affinity keys and circuit breaker. */
+/**
+ * A scheduler's view of one incarnation of an endpoint: load, speed, warm affinity keys and circuit
+ * breaker. It ends with the incarnation.
+ */
 final class EndpointState {
   /** Smoothing factor of the slowness, for each response. */
   private static final double SLOWNESS_SMOOTHING_FACTOR = 0.15;
@@ -25,7 +31,10 @@
   private RegisteredEndpoint endpoint;
   private long startedNanos;
   private int slots;
-  private int running;
+
+  /** The ids of the requests that were placed here and have not ended. */
+  private final Set<Long> runningRequests = new HashSet<>();
+
   private final OthersLoadEstimate othersLoad = new OthersLoadEstimate();
   private double slowness = 1;
   private final WorkDurationEstimate workDuration = new WorkDurationEstimate();
@@ -63,7 +72,7 @@
   }
 
   int running() {
-    return running;
+    return runningRequests.size();
   }
 
   /**
@@ -79,17 +88,13 @@
     return Math.max(slowness, 1 / workDuration.slowdown(nowNanos));
   }
 
-  /** Updates the registry entry; resets the estimates if the endpoint has restarted. */
-  void update(RegisteredEndpoint newer, long nowNanos) {
-    if (!newer.isSameIncarnationAs(endpoint)) {
-      startedNanos = nowNanos;
-      warmKeys.clear();
-      slowness = 1;
-      workDuration.reset();
-      running = 0;
-      leaving = false;
-      restUntilNanos = Long.MIN_VALUE / 2;
-    }
+  /** Updates the registry entry of the same incarnation. */
+  void update(RegisteredEndpoint newer) {
+    Preconditions.checkArgument(
+        newer.isSameIncarnationAs(endpoint),
+        "entry must be of the incarnation %s: %s",
+        endpoint,
+        newer);
     slots = newer.slots();
     endpoint = newer;
   }
@@ -181,19 +186,20 @@
 
   /** Returns the estimated number of free slots; negative when requests are queued there. */
   double freeSlots(long nowNanos) {
-    return slots - running - othersLoad.estimate(nowNanos);
+    return slots - running() - othersLoad.estimate(nowNanos);
   }
 
-  void recordSent(long nowNanos) {
-    running++;
-    circuitBreaker.recordSent();
+  void recordSent(long nowNanos, long requestId) {
+    runningRequests.add(requestId);
+    circuitBreaker.recordSent(nowNanos);
     if (isCold(nowNanos)) {
       coldStartRateLimiter.orElseThrow().takeToken(nowNanos);
     }
   }
 
-  void recordFinished() {
-    running = Math.max(0, running - 1);
+  /** Frees the slot of a request, unless it was placed before this view of the endpoint began. */
+  void recordFinished(long requestId) {
+    runningRequests.remove(requestId);
   }
 
   /**
@@ -206,7 +212,7 @@
       slots = report.slots();
     }
     report.workDuration().ifPresent(duration -> workDuration.addReport(nowNanos, duration));
-    double others = Math.max(0, report.running() + report.queued() - running - 1);
+    double others = Math.max(0, report.running() + report.queued() - running() - 1);
     othersLoad.addReport(nowNanos, others, serviceTimeNanos);
   }
 
--- a/core/src/main/java/org/mustardstage/core/placement/ReachedEndpoints.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ReachedEndpoints.java
@@ -6,7 +6,6 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -41,7 +40,7 @@
   private static final long FAST_PROBE_INTERVAL_NANOS = 100_000_000L;
   private static final long SLOW_PROBE_INTERVAL_NANOS = 400_000_000L;
 
-  private Map<EndpointId, RegisteredEndpoint> endpoints = Map.of();
+  private final CurrentEndpoints endpoints = new CurrentEndpoints();
 
   /** When the first of the attempts was begun that did not reach an endpoint. */
   private final Map<EndpointId, Long> unreachedNanos = new HashMap<>();
@@ -64,18 +63,22 @@
   private int takenProbes;
   private long lastProbeNanos = Long.MIN_VALUE / 2;
 
-  /** Replaces the endpoints of all services. */
+  /** Replaces the endpoints of all services. Forgets what is known of earlier incarnations. */
   public void setEndpoints(Collection<RegisteredEndpoint> newEndpoints) {
-    Map<EndpointId, RegisteredEndpoint> byId = new LinkedHashMap<>();
-    newEndpoints.forEach(endpoint -> byId.put(endpoint.id(), endpoint));
-    endpoints = byId;
-    unreachedNanos.keySet().retainAll(byId.keySet());
-    answeredNanos.keySet().retainAll(byId.keySet());
-    suspects.retainAll(byId.keySet());
-    probeOrder.retainAll(byId.keySet());
+    Set<EndpointId> ended = endpoints.replace(newEndpoints);
+    unreachedNanos.keySet().removeAll(ended);
+    answeredNanos.keySet().removeAll(ended);
+    answeredNanos.keySet().retainAll(endpoints.ids());
+    suspects.removeAll(ended);
+    probeOrder.retainAll(endpoints.ids());
     update();
   }
 
+  /** Returns whether {@code endpoint} is of the present incarnation. */
+  public boolean isCurrent(RegisteredEndpoint endpoint) {
+    return endpoints.isCurrent(endpoint);
+  }
+
   /** Returns whether this VM uses only the few endpoints that it reaches. */
   public boolean reachesFew() {
     return reachesFew;
@@ -99,7 +102,7 @@
    * Records that an endpoint was not reached by an attempt that was begun at {@code begunNanos}.
    */
   public void recordUnreached(long begunNanos, EndpointId endpoint) {
-    if (!endpoints.containsKey(endpoint)) {
+    if (!endpoints.contains(endpoint)) {
       return;
     }
     if (!reachesFew) {
@@ -111,7 +114,7 @@
 
   /** Records that an endpoint has lost a request or is late, so that it must be tried. */
   public void recordSuspect(long nowNanos, EndpointId endpoint) {
-    if (!endpoints.containsKey(endpoint)
+    if (!endpoints.contains(endpoint)
         || unreachedNanos.containsKey(endpoint)
         || suspects.contains(endpoint)) {
       return;
@@ -141,7 +144,7 @@
     }
     unanswering =
         mostUnreached
-            ? endpoints.keySet().stream()
+            ? endpoints.ids().stream()
                 .filter(endpoint -> !answering.contains(endpoint))
                 .collect(ImmutableSet.toImmutableSet())
             : ImmutableSet.of();
@@ -174,7 +177,7 @@
     lastProbeNanos = nowNanos;
     ImmutableList.Builder<RegisteredEndpoint> probes = ImmutableList.builder();
     for (int i = 0; i < PROBES_AT_ONCE; i++) {
-      nextProbe().map(endpoints::get).ifPresent(probes::add);
+      nextProbe().flatMap(endpoints::find).ifPresent(probes::add);
     }
     return probes.build();
   }
--- a/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
+++ b/core/src/main/java/org/mustardstage/core/placement/ServiceScheduler.java
@@ -125,10 +125,10 @@
     for (UsableEndpoint each : newEndpoints) {
       RegisteredEndpoint endpoint = each.endpoint();
       EndpointState state = endpoints.get(endpoint.id());
-      if (state == null) {
-        state = new EndpointState(endpoint, nowNanos);
+      if (state != null && state.endpoint().isSameIncarnationAs(endpoint)) {
+        state.update(endpoint);
       } else {
-        state.update(endpoint, nowNanos);
+        state = new EndpointState(endpoint, nowNanos);
       }
       state.setColdUntil(nowNanos, each.coldUntilNanos(), spec.coldRequestsPerSecond());
       newStates.put(endpoint.id(), state);
@@ -244,7 +244,8 @@
   }
 
   /**
-   * Frees the slot of a placed request and updates the estimates from the result of the attempt.
+   * Frees the slot of a placed request and updates the estimates from the result of the attempt. A
+   * result of an earlier incarnation changes nothing of the endpoint.
    */
   public void release(long nowNanos, PlacementDecision.Placed placed, AttemptResult result) {
     EndpointState state = endpoints.get(placed.endpoint().id());
@@ -252,7 +253,7 @@
     if (state == null || !state.endpoint().isSameIncarnationAs(placed.endpoint())) {
       return;
     }
-    state.recordFinished();
+    state.recordFinished(placed.request().id());
     int slotsBefore = state.slots();
     result
         .loadReport()
@@ -364,7 +365,7 @@
   private PlacementDecision.Placed place(
       long nowNanos, SchedulerRequest request, Candidate candidate) {
     EndpointState state = candidate.state();
-    state.recordSent(nowNanos);
+    state.recordSent(nowNanos, request.id());
     endpointLimits.recordSent(nowNanos, state.endpoint());
     regionShiftLimiter.recordPlacement(nowNanos, candidate.otherRegion());
     if (request.affinityKey().isPresent()) {
--- a/core/src/main/java/org/mustardstage/core/placement/WorkDurationEstimate.java
+++ b/core/src/main/java/org/mustardstage/core/placement/WorkDurationEstimate.java
@@ -50,10 +50,4 @@
   double slowdown(long nowNanos) {
     return Math.max(1, estimate(nowNanos));
   }
-
-  /** Forgets all reports, as the endpoint has restarted. */
-  void reset() {
-    logDuration = 0;
-    reported = false;
-  }
 }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
@@ -150,11 +150,14 @@
 
   /**
    * Records that an endpoint responded to a request that was sent at {@code sentNanos}, after it
-   * had opened the connection if that is new.
+   * had opened the connection if that is new. The response of an earlier incarnation, like all that
+   * is recorded of it, says nothing of the present one, but it came over this VM's links.
    */
   void recordResponse(RegisteredEndpoint endpoint, long sentNanos, boolean onNewConnection) {
-    reached.recordAnswered(System.nanoTime(), endpoint.id());
-    logReachedEndpoints();
+    if (reached.isCurrent(endpoint)) {
+      reached.recordAnswered(System.nanoTime(), endpoint.id());
+      logReachedEndpoints();
+    }
     if (onNewConnection) {
       update(() -> reachability.recordAnswered(sentNanos));
     }
@@ -168,12 +171,17 @@
     update(
         () -> {
           reachability.recordSuspicion(System.nanoTime());
-          reached.recordSuspect(System.nanoTime(), endpoint.id());
+          if (reached.isCurrent(endpoint)) {
+            reached.recordSuspect(System.nanoTime(), endpoint.id());
+          }
         });
   }
 
   /** Records that a new connection, begun at {@code begunNanos}, could not be opened. */
   void recordConnectFailed(RegisteredEndpoint endpoint, long begunNanos) {
+    if (!reached.isCurrent(endpoint)) {
+      return;
+    }
     update(
         () -> {
           reachability.recordFailed(begunNanos, endpoint.id());
@@ -198,7 +206,9 @@
     boolean nothingResponds = connections.lastResponseNanos() - sentNanos < 0;
     update(
         () -> {
-          reached.recordSuspect(System.nanoTime(), endpoint.id());
+          if (reached.isCurrent(endpoint)) {
+            reached.recordSuspect(System.nanoTime(), endpoint.id());
+          }
           if (nothingResponds) {
             reachability.recordSuspicion(System.nanoTime());
           }
@@ -346,7 +356,8 @@
   private void onSilent(RegisteredEndpoint endpoint, long begunNanos) {
     if (connections.lastResponseNanos() - begunNanos < 0) {
       recordConnectFailed(endpoint, begunNanos);
-    } else if (connections.lastResponseNanos(endpoint.address()) - begunNanos < 0) {
+    } else if (reached.isCurrent(endpoint)
+        && connections.lastResponseNanos(endpoint.address()) - begunNanos < 0) {
       update(() -> reached.recordUnreached(begunNanos, endpoint.id()));
     }
   }
