--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -24,7 +24,6 @@
 import org.mustardstage.core.lookup.LargeVmSelector;
 import org.mustardstage.core.member.Member;
 import org.mustardstage.core.member.MemberView;
-import org.mustardstage.core.overload.RetryBudget;
 import org.mustardstage.core.placement.AttemptResult;
 import org.mustardstage.core.placement.EndpointLimit;
 import org.mustardstage.core.placement.EndpointLimits;
@@ -53,9 +52,6 @@
   /** How often queued requests are reconsidered while no slot is released. */
   private static final long QUEUE_CHECK_INTERVAL_MILLIS = 5;
 
-  /** The fraction of the operators' retry budget that is used; the rest is a safety margin. */
-  private static final double USED_RETRY_BUDGET_FRACTION = 0.5;
-
   private final GatewaySettings settings;
   private final Eventloop eventloop;
   private final LongSupplier clock;
@@ -63,7 +59,7 @@
   private final RegionShiftLimiter regionShiftLimiter;
   private ImmutableMap<ServiceName, ImmutableList<UsableEndpoint>> endpoints = ImmutableMap.of();
   private final Map<ServiceName, ServiceScheduler> schedulers = new HashMap<>();
-  private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
+  private final RetryBudgets retryBudgets;
   private final Map<Long, Pending> pending = new HashMap<>();
 
   /** The services whose queues a task is going to process. */
@@ -81,9 +77,6 @@
 
   private long nextRequestId = 1;
 
-  /** The largest number of VMs seen so far, among which the retry budget is divided. */
-  private int retrySharingVms = 1;
-
   private boolean ticking;
   private boolean cutOff;
 
@@ -98,6 +91,7 @@
         new RoundTripEstimates(settings.zone(), settings.region(), settings.regions());
     this.regionShiftLimiter =
         new RegionShiftLimiter(settings.regionShiftLimit(), phaseOf(settings.vm()));
+    this.retryBudgets = new RetryBudgets(settings.repeatShare(), settings.repeatReserve());
     this.hedges = new ServiceHedges(settings.hedging(), clock);
     this.endpointLimits =
         new EndpointLimits(settings.vm(), roundTrips::regionOf, clock.getAsLong());
@@ -195,10 +189,7 @@
 
   /** Replaces the view of the VMs, by which limits and cold endpoints are divided among them. */
   void setMembers(MemberView view) {
-    if (view.statuses().size() > retrySharingVms) {
-      retrySharingVms = view.statuses().size();
-      retryBudgets.clear();
-    }
+    retryBudgets.setSharingVms(view.statuses().size());
     members = Optional.of(view);
     endpointLimits.setMembers(clock.getAsLong(), view);
     schedulers.values().forEach(scheduler -> scheduler.setSettings(placementSettings()));
@@ -278,7 +269,7 @@
 
   @Override
   public void recordFirstAttempt(ServiceName service) {
-    retryBudgetOf(service).recordFirstAttempt();
+    retryBudgets.of(service).recordFirstAttempt();
     hedges.recordFirstAttempt(service);
   }
 
@@ -302,16 +293,7 @@
 
   @Override
   public boolean tryAcquireRetry(ServiceName service) {
-    return retryBudgetOf(service).tryAcquire();
-  }
-
-  private RetryBudget retryBudgetOf(ServiceName service) {
-    return retryBudgets.computeIfAbsent(service, name -> newRetryBudget());
-  }
-
-  private RetryBudget newRetryBudget() {
-    int reserve = (int) (USED_RETRY_BUDGET_FRACTION * settings.repeatReserve() / retrySharingVms);
-    return new RetryBudget(USED_RETRY_BUDGET_FRACTION * settings.repeatShare(), reserve, reserve);
+    return retryBudgets.of(service).tryAcquire();
   }
 
   private void cancel(long requestId) {
