Keep ticks alive after an error, and run reports apart

An error in a tick of QuotaGate, or in a probe, ended the ticks for good: attempts that wait for a permit were never told, and a VM that was cut off would not have noticed the end of the cut.

Change: reports are tasks of their own; a tick and a probe schedule the next one first.

Evidence: on errorInTheReportOfALostAttemptReachesNoOtherRequest and waitingAttemptsAreToldAlthoughNothingCanBeSent fail; both pass with the change. The probe loop and Dispatcher.tick are by reading: nothing in them can be made to throw from outside. Pipelined requests that are rejected at once don't nest; that held before, and the test is kept.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -379,9 +379,9 @@
 
   private void tick() {
     ticking = false;
-    processQueues();
     if (!pending.isEmpty()) {
       startTicking();
+      processQueues();
     }
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointLinkMonitor.java
@@ -195,7 +195,7 @@
    */
   void whenNotOwnLinks(long lostNanos, Runnable report) {
     lossReports.add(lostNanos, report);
-    lossReports.takeDue().forEach(Runnable::run);
+    runDueReports();
   }
 
   /** Records that the response to a request that was sent at {@code sentNanos} is overdue. */
@@ -237,10 +237,15 @@
       tellListeners(Listener::onReachedAgain);
     }
     logReachedEndpoints();
-    lossReports.takeDue().forEach(Runnable::run);
+    runDueReports();
     startProbing();
   }
 
+  /** Runs each report in a task of its own, as it is of another request than this is called for. */
+  private void runDueReports() {
+    lossReports.takeDue().forEach(reactor::postLast);
+  }
+
   private void logReachedEndpoints() {
     if (reached.reachesFew() == reachedFew) {
       return;
@@ -290,12 +295,13 @@
       probing = false;
       return;
     }
+    // First, so that an error in a probe does not end probing.
+    reactor.delayBackground(PROBE_CHECK_INTERVAL_MILLIS, this::probe);
     long nowNanos = System.nanoTime();
     reachability.takeProbes(nowNanos).forEach(this::probe);
     if (!isCutOff()) {
       reached.takeProbes(nowNanos).forEach(this::probe);
     }
-    reactor.delayBackground(PROBE_CHECK_INTERVAL_MILLIS, this::probe);
   }
 
   private void probe(RegisteredEndpoint endpoint) {
--- a/entry/src/main/java/org/mustardstage/entry/gateway/QuotaGate.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/QuotaGate.java
@@ -177,11 +177,11 @@
 
   private void tick() {
     ticking = false;
+    startTicking();
     quotas.tick(clock.getAsLong());
     executeActions();
     logOwnership();
     refusals.forEach(this::logRefusals);
-    startTicking();
   }
 
   private void logOwnership() {
--- a/entry/src/test/java/org/mustardstage/entry/gateway/AttemptPermitTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/AttemptPermitTest.java
@@ -155,4 +155,23 @@
     assertThat(told.runs(), is(TOO_MANY));
     assertThat(told.maxNesting(), is(1));
   }
+
+  /** An error in one tick must not end the others, which decide about the attempts that wait. */
+  @Test
+  void waitingAttemptsAreToldAlthoughNothingCanBeSent() throws IOException {
+    QuotaGate borrower = new QuotaGate(TestSettings.ofVm1(), eventloop, System::nanoTime);
+    borrower.setMembers(viewOf(member("vm-1"), member("vm-0"), member("vm-2")));
+    borrower.setTenants(tenants());
+    SequenceCheck told = new SequenceCheck();
+    new AttemptPermit(borrower, Optional.of(LIMITED))
+        .acquire(() -> told.runThenFail(() -> {}), refused -> told.runThenFail(() -> {}), () -> {});
+    borrower.setSender(
+        messages -> {
+          throw new IllegalStateException("thrown by the test");
+        });
+
+    runFor(Duration.ofSeconds(2));
+
+    assertThat(told.runs(), is(1));
+  }
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/EndpointLinkMonitorTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/EndpointLinkMonitorTest.java
@@ -1,11 +1,14 @@
 package org.mustardstage.entry.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.activej.eventloop.Eventloop;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.mustardstage.core.gateway.RegisteredEndpoint;
@@ -14,9 +17,17 @@
 import org.mustardstage.core.placement.UsableEndpoint;
 import org.mustardstage.entry.http.MalformedResponses.Peers;
 
-/** Guards against results of an earlier incarnation that count for the present one. */
+/**
+ * Guards against results of an earlier incarnation that count for the present one, and requests
+ * that end by the errors of others.
+ */
 class EndpointLinkMonitorTest {
-  private final Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
+  private final List<Throwable> faults = new ArrayList<>();
+  private final Eventloop eventloop =
+      Eventloop.builder()
+          .withCurrentThread()
+          .withFatalErrorHandler((e, context) -> faults.add(e))
+          .build();
   private final EndpointLinkMonitor monitor =
       new EndpointLinkMonitor(
           eventloop,
@@ -65,4 +76,19 @@
 
     assertThat(monitor.isSuspected(), is(true));
   }
+
+  /** The response of one request makes the reports of others due. */
+  @Test
+  void errorInTheReportOfALostAttemptReachesNoOtherRequest() {
+    SequenceCheck reports = new SequenceCheck();
+    long lostNanos = System.nanoTime();
+    monitor.whenNotOwnLinks(lostNanos, () -> reports.runThenFail(() -> {}));
+    monitor.whenNotOwnLinks(lostNanos, () -> reports.runThenFail(() -> {}));
+
+    monitor.recordResponse(incarnation("i-1", 2), lostNanos + 1, /* onNewConnection= */ true);
+    eventloop.run();
+
+    assertThat(reports.runs(), is(2));
+    assertThat(faults, hasSize(2));
+  }
 }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/PipeliningTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/PipeliningTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.io.BufferedReader;
@@ -14,14 +16,22 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.mustardstage.core.id.TenantName;
 
 /** Guards callers that send further requests before they have the first response. */
 @Timeout(60)
 class PipeliningTest extends GatewayTestBed {
+  private static final int REJECTED_REQUESTS = 2_000;
+
+  /** More frames than there are between the handling of a request and that of the next one. */
+  private static final int FRAMES_OF_ONE_REQUEST = 100;
+
   private String requestText(String method, String path, String id, String body) {
     return method
         + " "
@@ -116,6 +126,34 @@
     }
   }
 
+  /** A caller that sends many requests at once must not exhaust the stack of the traffic thread. */
+  @Test
+  void requestsThatAreRejectedAtOnceAreNotHandledInsideOneAnother() throws Exception {
+    server.onConfig(
+        KeyedRequestsTest.configWithTenants(2, Map.of(new TenantName("mill"), List.of("key"))));
+    server.awaitIdle(1_000);
+    AtomicInteger maxDepth = new AtomicInteger();
+    server.setKeyCheck(
+        () -> {
+          int depth = StackWalker.getInstance().walk(frames -> (int) frames.count());
+          maxDepth.accumulateAndGet(depth, Math::max);
+          return false;
+        });
+    int one;
+    try (Socket caller = connect()) {
+      write(caller, requestText("GET", "/look/1", "r-1", ""));
+      assertThat(readBodies(caller, 1), hasSize(1));
+      one = maxDepth.get();
+      assertThat(one, is(greaterThan(0)));
+    }
+    try (Socket caller = connect()) {
+      write(caller, requestText("GET", "/look/1", "r-1", "").repeat(REJECTED_REQUESTS));
+      assertThat(readBodies(caller, REJECTED_REQUESTS), hasSize(REJECTED_REQUESTS));
+    }
+
+    assertThat(maxDepth.get(), is(lessThan(one + FRAMES_OF_ONE_REQUEST)));
+  }
+
   @Test
   void manyRequestsAtOnceAreAllAnswered() throws Exception {
     first.setHandler(PipeliningTest::echoPath);
