Free the slot before others are told of a result

Found when the change was read again: Dispatcher.release told of a named limit and of a leaving endpoint first. An error there ended one request, as intended, but its slot was never freed, and the scheduler never heard that the endpoint is leaving.

Evidence: errorInWhatIsToldOfAResultDoesNotKeepTheSlot fails with the old order (the queued request is not decided) and passes with the new one. RequestFaultTest had not shown it, as it publishes the endpoint anew.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/Dispatcher.java
@@ -313,6 +313,11 @@
       ServiceName service, PlacementDecision.Placed placed, AttemptResult reported) {
     AttemptResult result = cutOff ? reported.withoutBlame() : reported;
     ServiceScheduler scheduler = schedulers.get(service);
+    if (scheduler != null) {
+      // First, as an error in what follows must not keep the slot.
+      scheduler.release(clock.getAsLong(), placed, result);
+      processQueueLater(service, scheduler);
+    }
     namedLimits.recordResponse(clock.getAsLong(), placed.endpoint(), result);
     if (result.status() == AttemptResult.Status.ANSWERED) {
       hedges.recordResponse(service, placed.expectedResponseNanos(), result.elapsedNanos());
@@ -320,10 +325,6 @@
     if (result.notice().leaving()) {
       leavingListener.accept(placed.endpoint());
     }
-    if (scheduler != null) {
-      scheduler.release(clock.getAsLong(), placed, result);
-      processQueueLater(service, scheduler);
-    }
   }
 
   private void processQueueLater(ServiceName service, ServiceScheduler scheduler) {
--- a/entry/src/test/java/org/mustardstage/entry/gateway/DispatcherTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/DispatcherTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -32,6 +33,7 @@
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.placement.AttemptResult;
 import org.mustardstage.core.placement.EndpointNotice;
+import org.mustardstage.core.placement.LimitNotice;
 import org.mustardstage.core.placement.PlacementDecision;
 import org.mustardstage.core.placement.UsableEndpoint;
 
@@ -227,4 +229,30 @@
     assertThat(order, contains("queued"));
     release(placeOne());
   }
+
+  /**
+   * An error in what is told of a result kept the slot, and the scheduler never heard the result.
+   */
+  @Test
+  void errorInWhatIsToldOfAResultDoesNotKeepTheSlot() {
+    PlacementDecision.Placed running = placeOne();
+    placeAndRelease("queued");
+    dispatcher.setLeavingListener(
+        endpoint -> {
+          throw new IllegalStateException("thrown by the test");
+        });
+    AttemptResult leaving =
+        new AttemptResult(
+            AttemptResult.Status.ANSWERED,
+            /* elapsedNanos= */ 1_000,
+            Optional.empty(),
+            Optional.empty(),
+            new EndpointNotice(/* leaving= */ true, Optional.empty(), LimitNotice.UNLIMITED));
+    assertThrows(IllegalStateException.class, () -> dispatcher.release(ORDERS, running, leaving));
+    eventloop.delay(200, eventloop::breakEventloop);
+    eventloop.run();
+
+    // Its only endpoint is leaving, so the request is rejected at once.
+    assertThat(order, contains("queued"));
+  }
 }
