--- a/entry/src/test/java/org/mustardstage/entry/gateway/TableReplicaTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/TableReplicaTest.java
@@ -317,7 +317,7 @@
     }
   }
 
-  private static final class FakeStore implements RowStore {
+  static final class FakeStore implements RowStore {
     private final List<String> calls = new ArrayList<>();
     private final List<Long> requestedWaitMillis = new ArrayList<>();
     private SettablePromise<Either<PlatformFailure, Rows>> pendingCall = new SettablePromise<>();
