Log responses that no request awaited, and the connection of each try

Responses with another id, and bytes on idle connections, were dropped without a trace, and REQUEST_ENDED named the endpoints that a request was sent to but not by which connection.

MS0064 EXTRA_RESPONSE and mustardstage_extra_responses_total{peers} show what no request awaited. Each try ends with @ and the number of its connection at this VM.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
@@ -1,6 +1,5 @@
 package org.mustardstage.entry.gateway;
 
-import com.google.common.primitives.Ints;
 import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.tcp.TcpSocket;
@@ -42,6 +41,7 @@
   private final HeaderNames headerNames;
   private final BufferBudget<EndpointConnection> responseBuffers;
   private final Peers peers;
+  private final long number;
   private final Runnable onClosed;
   private Optional<TcpSocket> socket = Optional.empty();
   private Optional<Exchange> exchange = Optional.empty();
@@ -87,12 +87,14 @@
       HeaderNames headerNames,
       BufferBudget<EndpointConnection> responseBuffers,
       Peers peers,
+      long number,
       Runnable onClosed) {
     this.reactor = reactor;
     this.address = address;
     this.headerNames = headerNames;
     this.responseBuffers = responseBuffers;
     this.peers = peers;
+    this.number = number;
     this.onClosed = onClosed;
   }
 
@@ -174,6 +176,7 @@
       return;
     }
     if (exchange.isEmpty()) {
+      MalformedResponses.recordExtra(peers, address, "", buf.readRemaining() + " bytes");
       buf.recycle();
       close();
       return;
@@ -234,6 +237,8 @@
         return;
       }
       if (isForOtherRequest(response.get())) {
+        MalformedResponses.recordExtra(
+            peers, address, exchange.get().request.id(), describeExtra(response.get()));
         mustClose = true;
         continue;
       }
@@ -267,6 +272,10 @@
     }
   }
 
+  private String describeExtra(EndpointResponse response) {
+    return response.status() + " for " + response.headers().find(headerNames.requestId()).get();
+  }
+
   private boolean isForOtherRequest(EndpointResponse response) {
     Optional<String> id = response.headers().find(headerNames.requestId());
     return id.isPresent() && !id.get().equals(exchange.orElseThrow().request.id());
@@ -275,7 +284,7 @@
   private void finish(EndpointResponse response) {
     Exchange done = exchange.orElseThrow();
     lastResponseNanos = System.nanoTime();
-    recordKeepAlive(response);
+    KeepAliveTimeout.millisOf(response.headers()).ifPresent(millis -> keepAliveMillis = millis);
     boolean reusable =
         !mustClose && done.written && !done.parser.hasUnconsumedBytes() && !requestsClose(response);
     exchange = Optional.empty();
@@ -296,25 +305,6 @@
         .anyMatch(value -> value.toLowerCase(Locale.ROOT).contains("close"));
   }
 
-  private void recordKeepAlive(EndpointResponse response) {
-    response
-        .headers()
-        .find("Keep-Alive")
-        .flatMap(EndpointConnection::parseTimeoutMillis)
-        .ifPresent(millis -> keepAliveMillis = millis);
-  }
-
-  private static Optional<Long> parseTimeoutMillis(String keepAlive) {
-    for (String part : keepAlive.split(",", -1)) {
-      String text = part.trim();
-      if (text.startsWith("timeout=")) {
-        Integer seconds = Ints.tryParse(text.substring(8));
-        return Optional.ofNullable(seconds).map(s -> 1_000L * s);
-      }
-    }
-    return Optional.empty();
-  }
-
   private void onEndOfStream() {
     Optional<EndpointResponse> last =
         exchange.flatMap(current -> current.parser.atEndOfStream()).map(EndpointResponse::of);
@@ -357,6 +347,11 @@
     body.ifPresent(StreamedBody::breakOff);
   }
 
+  /** Returns the number of this connection among those of its pool. */
+  long number() {
+    return number;
+  }
+
   boolean isClosed() {
     return closed;
   }
--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnectionPool.java
@@ -51,6 +51,7 @@
   private final Peers peers;
   private final IdleConnectionLimits idleLimits = new IdleConnectionLimits();
   private long lastResponseNanos = Long.MIN_VALUE / 2;
+  private long createdConnections;
 
   private static final class AddressPool {
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
@@ -164,6 +165,7 @@
             headerNames,
             responseBuffers,
             peers,
+            ++createdConnections,
             () -> pool.open.remove(self[0]));
     pool.open.add(self[0]);
     return self[0];
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
 import org.mustardstage.core.gateway.RoutingRule;
 import org.mustardstage.core.id.ServiceName;
 import org.mustardstage.core.tenant.Tenant;
@@ -85,14 +86,25 @@
   private final TenantLabels tenantLabels = new TenantLabels(MAX_TENANTS);
 
   GatewayMetrics() {
+    countByPeers(
+        "mustardstage_malformed_responses",
+        "Responses given up as they were malformed or too large, by who sent them.",
+        MalformedResponses::count);
+    countByPeers(
+        "mustardstage_extra_responses",
+        "Times that something arrived that no request awaited, by who sent it.",
+        MalformedResponses::extraCount);
+  }
+
+  private void countByPeers(String name, String help, ToLongFunction<Peers> count) {
     CounterWithCallback.builder()
-        .name("mustardstage_malformed_responses")
-        .help("Responses given up as they were malformed or too large, by who sent them.")
+        .name(name)
+        .help(help)
         .labelNames("peers")
         .callback(
             callback -> {
               for (Peers peers : Peers.values()) {
-                callback.call((double) MalformedResponses.count(peers), peers.label());
+                callback.call((double) count.applyAsLong(peers), peers.label());
               }
             })
         .register(registry);
--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestAttempt.java
@@ -129,7 +129,14 @@
         connection.connectNanos().isPresent()
             ? Optional.of(connection.connectNanos().getAsLong())
             : Optional.empty();
-    trace.add(endpoint().id() + ":" + status + ":" + elapsedNanos / 1_000_000);
+    trace.add(
+        endpoint().id()
+            + ":"
+            + status
+            + ":"
+            + elapsedNanos / 1_000_000
+            + "@"
+            + connection.number());
     placer.release(
         service,
         placed,
--- a/entry/src/main/java/org/mustardstage/entry/http/MalformedResponses.java
+++ b/entry/src/main/java/org/mustardstage/entry/http/MalformedResponses.java
@@ -12,11 +12,11 @@
 
 /**
  * Logs and counts, for the whole process, the responses that were given up as they are malformed or
- * hold too much memory. Safe on any thread.
+ * hold too much memory, and those that no request awaited. Safe on any thread.
  */
 public final class MalformedResponses {
-  private static final ImmutableMap<Peers, LongAdder> COUNTS =
-      Maps.toMap(EnumSet.allOf(Peers.class), peers -> new LongAdder());
+  private static final ImmutableMap<Peers, LongAdder> COUNTS = newCounts();
+  private static final ImmutableMap<Peers, LongAdder> EXTRA_COUNTS = newCounts();
 
   private MalformedResponses() {}
 
@@ -44,17 +44,37 @@
   public static void record(Peers peers, InetSocketAddress peer, String requestId, String problem) {
     COUNTS.get(peers).increment();
     EventLog.log(
-        Event.MALFORMED_RESPONSE,
-        "peer",
-        InetAddresses.toUriString(peer.getAddress()) + ":" + peer.getPort(),
-        "request",
-        requestId,
-        "problem",
-        problem);
+        Event.MALFORMED_RESPONSE, "peer", describe(peer), "request", requestId, "problem", problem);
+  }
+
+  /**
+   * Records bytes that arrived although the response that was due is another one, or none was due.
+   *
+   * @param requestId the id of the request in flight; empty if there is none
+   * @param found what arrived
+   */
+  public static void recordExtra(
+      Peers peers, InetSocketAddress peer, String requestId, String found) {
+    EXTRA_COUNTS.get(peers).increment();
+    EventLog.log(
+        Event.EXTRA_RESPONSE, "peer", describe(peer), "request", requestId, "found", found);
   }
 
   /** Returns how many responses were given up since the process started. */
   public static long count(Peers peers) {
     return COUNTS.get(peers).sum();
   }
+
+  /** Returns how many times something arrived that was not awaited since the process started. */
+  public static long extraCount(Peers peers) {
+    return EXTRA_COUNTS.get(peers).sum();
+  }
+
+  private static ImmutableMap<Peers, LongAdder> newCounts() {
+    return Maps.toMap(EnumSet.allOf(Peers.class), peers -> new LongAdder());
+  }
+
+  private static String describe(InetSocketAddress peer) {
+    return InetAddresses.toUriString(peer.getAddress()) + ":" + peer.getPort();
+  }
 }
--- a/entry/src/main/java/org/mustardstage/entry/http/ResponseCheck.java
+++ b/entry/src/main/java/org/mustardstage/entry/http/ResponseCheck.java
@@ -58,6 +58,8 @@
   public void onRead(TcpSocket socket, ByteBuf buf) {
     if (parser.isEmpty()) {
       extraBytes = true;
+      MalformedResponses.recordExtra(
+          peers, socket.getRemoteAddress(), "", buf.readRemaining() + " bytes");
       socket.closeEx(new MalformedHttpException("bytes arrived without a request"));
       return;
     }
--- a/entry/src/main/java/org/mustardstage/entry/log/Event.java
+++ b/entry/src/main/java/org/mustardstage/entry/log/Event.java
@@ -82,6 +82,8 @@
   REQUEST_BLOCKED(62, Level.WARN),
   /** A response was given up, as it is malformed or too large. */
   MALFORMED_RESPONSE(63, Level.WARN),
+  /** A response arrived that no request awaited. */
+  EXTRA_RESPONSE(64, Level.WARN),
   /** The control thread caught an unexpected exception. */
   CONTROL_FAULT(90, Level.ERROR),
   /** The traffic thread caught an unexpected exception. */
