Log responses that no request awaited once for each connection

Found by reading on: an endpoint that writes responses to another request without end (EndlessBytesTest has one) would log each of them. responsesToAnotherRequestAreLoggedOnceForAConnection fails without it.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
@@ -277,9 +277,11 @@
     if (id.isEmpty() || id.get().equals(awaitedId)) {
       return false;
     }
-    MalformedResponses.recordExtra(
-        peers, address, awaitedId, response.status() + " for " + id.get());
-    mustClose = true;
+    if (!mustClose) {
+      mustClose = true;
+      MalformedResponses.recordExtra(
+          peers, address, awaitedId, response.status() + " for " + id.get());
+    }
     return true;
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/GatewayMetrics.java
@@ -92,7 +92,7 @@
         MalformedResponses::count);
     countByPeers(
         "mustardstage_extra_responses",
-        "Times that something arrived that no request awaited, by who sent it.",
+        "Connections on which something arrived that no request awaited, by who sent it.",
         MalformedResponses::extraCount);
   }
 
--- a/entry/src/main/java/org/mustardstage/entry/http/MalformedResponses.java
+++ b/entry/src/main/java/org/mustardstage/entry/http/MalformedResponses.java
@@ -48,7 +48,8 @@
   }
 
   /**
-   * Records bytes that arrived although the response that was due is another one, or none was due.
+   * Records that something arrived on a connection although another response was due, or none. Each
+   * connection records it once, as it ends for it.
    *
    * @param requestId the id of the request in flight; empty if there is none
    * @param found what arrived
@@ -65,7 +66,7 @@
     return COUNTS.get(peers).sum();
   }
 
-  /** Returns how many times something arrived that was not awaited since the process started. */
+  /** Returns on how many connections something arrived that was not awaited. */
   public static long extraCount(Peers peers) {
     return EXTRA_COUNTS.get(peers).sum();
   }
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FaultyEndpointTest.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FaultyEndpointTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mustardstage.core.placement.UsableEndpoint;
+import org.mustardstage.entry.http.MalformedResponses;
 
 /**
  * Guards callers against endpoints that write a refusal again, or stop in the middle of a response.
@@ -96,6 +97,22 @@
     }
   }
 
+  /** An endpoint that writes such responses without end would fill the log. */
+  @Test
+  void responsesToAnotherRequestAreLoggedOnceForAConnection() throws Exception {
+    first.setHandler(
+        (request, socket) -> {
+          FakeEndpoint.write(socket, refusal(Optional.of(OTHER_REQUEST)).repeat(20));
+          FakeEndpoint.respondOk(request, socket, "done");
+        });
+    long before = MalformedResponses.extraCount(MalformedResponses.Peers.ENDPOINTS);
+
+    assertThat(book("r-1").body(), is("done"));
+
+    long logged = MalformedResponses.extraCount(MalformedResponses.Peers.ENDPOINTS) - before;
+    assertThat(logged, is(1L));
+  }
+
   /** Without an id, nothing tells which request a refusal belongs to. */
   @Test
   void refusalWithoutIdIsNoPromise() throws Exception {
