Remember that a request was sent before its attempts are forgotten

Found by the audit of each way in which a 503 comes about: an error while a slot is released, at a timeout, as the caller leaves or at the exit, was answered 503 INTERNAL_ERROR although the request had been sent, as cancelAttempts had cleared the attempts.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/RequestExecution.java
@@ -761,6 +761,8 @@
   }
 
   private void cancelAttempts() {
+    // First, as an error in what follows must not hide that the request was sent.
+    mayHaveRun |= isInFlight();
     permit.cancel();
     pendingPlacement.ifPresent(Placer.PendingPlacement::cancel);
     pendingPlacement = Optional.empty();
