--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeDeployment.java
@@ -85,7 +85,7 @@
       throws IOException {
     HostAndPort callers = TestPorts.freeAddress();
     HostAndPort peers = TestPorts.freeAddress();
-    int number = vms.size() + 1;
+    int number = callerAddresses.size() + 1;
     GatewaySettings settings =
         TestSettings.ofVm("vm-" + number)
             .listenOn(callers, peers, TestPorts.freeAddress())
