Drop as many incomplete responses as the budget needs at once

Cause: a response is dropped in a later task of the event loop, and its connection stayed in the budget until then. All other reads of the same turn named it again, so each turn dropped one response while up to 200 grew. Now it is forgotten when it is chosen.

--- a/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
+++ b/entry/src/main/java/org/mustardstage/entry/gateway/EndpointConnection.java
@@ -115,9 +115,8 @@
     if (openedNanos.isPresent()) {
       return ConnectionFailure.CONNECTION_LOST;
     }
-    return e instanceof AsyncTimeoutException
-        ? ConnectionFailure.CONNECT_TIMED_OUT
-        : ConnectionFailure.CONNECT_REFUSED;
+    boolean timedOut = e instanceof AsyncTimeoutException;
+    return timedOut ? ConnectionFailure.CONNECT_TIMED_OUT : ConnectionFailure.CONNECT_REFUSED;
   }
 
   private void onConnected(TcpSocket connected, long startedNanos, Exchange first) {
@@ -125,9 +124,8 @@
       connected.close();
       return;
     }
-    long nowNanos = System.nanoTime();
-    openedNanos = OptionalLong.of(nowNanos);
-    connectNanos = OptionalLong.of(nowNanos - startedNanos);
+    openedNanos = OptionalLong.of(System.nanoTime());
+    connectNanos = OptionalLong.of(openedNanos.getAsLong() - startedNanos);
     socket = Optional.of(connected);
     read();
     write(first);
@@ -217,6 +215,8 @@
    * of its own, as it is mostly called while the response to another request is read.
    */
   private void dropResponseLater() {
+    // Forgotten at once, so that whatever grows until then drops another one.
+    responseBuffers.remove(this);
     Optional<Exchange> dropped = exchange;
     reactor.postLast(
         () -> {
--- a/entry/src/test/java/org/mustardstage/entry/gateway/FakeEndpoint.java
+++ b/entry/src/test/java/org/mustardstage/entry/gateway/FakeEndpoint.java
@@ -38,6 +38,7 @@
 
   private final String id;
   private final ServerSocket server;
+  private final Thread acceptor;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final List<ReceivedRequest> receivedRequests = new CopyOnWriteArrayList<>();
   private volatile String healthHeaders = "";
@@ -46,7 +47,7 @@
   FakeEndpoint(String id) throws IOException {
     this.id = id;
     this.server = new ServerSocket(0, 300, InetAddress.getLoopbackAddress());
-    Thread.ofVirtual().start(this::accept);
+    this.acceptor = Thread.ofVirtual().start(this::accept);
   }
 
   void setHandler(Handler newHandler) {
@@ -115,9 +116,13 @@
     socket.getOutputStream().flush();
   }
 
+  /** Closes the endpoint. When this returns, no new connection can be opened. */
   @Override
   public void close() throws IOException {
     server.close();
+    while (acceptor.isAlive()) {
+      Thread.onSpinWait();
+    }
     for (Socket socket : sockets) {
       socket.close();
     }
